--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Entry points for users and CI; the build itself is CMake's.
+BUILD ?= build
+TYPE ?= RelWithDebInfo
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps configure demo test format lint clean
+all: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+deps:
+	@misc/install_deps.sh
+
+configure: deps
+	@[ -f $(BUILD)/build.ninja ] || cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(TYPE) $(CMAKE_FLAGS)
+
+demo: all
+	@BUILD=$(BUILD) KEEP=$(KEEP) misc/demo.sh
+
+test: all
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+format: deps
+	misc/format.sh
+
+lint: configure
+	BUILD=$(BUILD) misc/lint.sh
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/adapters/decision_thread.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "adapters/runtime.h"
+#include "core/bounded_ring.h"
+#include "request/entry_events.h"
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace clementinegap {
+
+/// The thread that owns a decision core: takes events from its ring, hands the core's actions out in order,
+/// and keeps the core's timers.
+template <class Core, class Event, class Action> class decision_thread {
+public:
+    using apply_function = std::function<void(const Action&, time_point now)>;
+
+    decision_thread(Core core, std::size_t ring_capacity, apply_function apply)
+        : core_(std::move(core)), ring_(ring_capacity), apply_(std::move(apply))
+    {
+    }
+    decision_thread(const decision_thread&) = delete;
+    decision_thread& operator=(const decision_thread&) = delete;
+    ~decision_thread() { stop(); }
+
+    void start()
+    {
+        thread_ = std::thread([this] { run(); });
+    }
+
+    /// False when the ring is full.
+    bool post(Event event) { return ring_.push(std::move(event)); }
+
+    void stop()
+    {
+        stopping_ = true;
+        ring_.wake();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    std::uint64_t refused() const { return ring_.refused(); }
+    std::size_t waiting() const { return ring_.size(); }
+
+    /// Called on the decision thread after each batch; the place to publish figures of the core.
+    void on_idle(std::function<void(const Core&)> observe) { observe_ = std::move(observe); }
+
+private:
+    static constexpr auto max_sleep = std::chrono::milliseconds(100);
+
+    void run()
+    {
+        while (!stopping_) {
+            if (auto event = ring_.pop()) {
+                handle(*event);
+                continue;
+            }
+            if (observe_) {
+                observe_(core_);
+            }
+            const auto now = process_now();
+            const auto due = core_.next_due();
+            if (due <= now) {
+                handle(Event(tick{}));
+                continue;
+            }
+            ring_.wait_for(std::min<duration>(max_sleep, due - now));
+        }
+    }
+
+    void handle(const Event& event)
+    {
+        const auto now = process_now();
+        for (const auto& action : core_.on_event(event, now)) {
+            apply_(action, now);
+        }
+    }
+
+    Core core_;
+    bounded_ring<Event> ring_;
+    apply_function apply_;
+    std::function<void(const Core&)> observe_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/adapters/http_server.cpp
@@ -0,0 +1,462 @@
+#include "adapters/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <condition_variable>
+#include <cstring>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::size_t stream_block_bytes = 16 * 1024;
+constexpr std::size_t discard_factor = 8;
+constexpr auto watch_interval = std::chrono::milliseconds(100);
+
+std::string lower_case(std::string_view text)
+{
+    std::string result(text);
+    std::ranges::transform(result, result.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+enum class answer_form : std::uint8_t { none, whole, stream };
+
+/// One exchange. The server's thread and the answering thread meet under the mutex.
+struct exchange {
+    exchange_id id{0};
+    MHD_Connection* connection{nullptr};
+    int socket{-1};
+    http_request request;
+    std::chrono::steady_clock::time_point started;
+    bool delivered{false}; ///< The request was handed to the owner.
+
+    std::mutex mutex;
+    answer_form form{answer_form::none};
+    std::uint16_t status{0};
+    http_server::headers fields;
+    std::string buffer;
+    std::size_t taken{0}; ///< Bytes of `buffer` that the connection took.
+    bool ended{false};
+    bool aborted{false};
+    bool suspended{false};
+    bool gone{false};
+    std::function<void(exchange_id, std::uint32_t)> drained;
+};
+
+using exchange_ptr = std::shared_ptr<exchange>;
+
+void resume_locked(exchange& item)
+{
+    if (item.suspended && !item.gone) {
+        item.suspended = false;
+        MHD_resume_connection(item.connection);
+    }
+}
+
+MHD_Result collect_header(void* target, MHD_ValueKind /*kind*/, const char* name, const char* value)
+{
+    auto& headers = *static_cast<std::map<std::string, std::string, std::less<>>*>(target);
+    headers[lower_case(name)] = value == nullptr ? "" : value;
+    return MHD_YES;
+}
+
+MHD_Result collect_query(void* target, MHD_ValueKind /*kind*/, const char* name, const char* value)
+{
+    auto& query = *static_cast<std::map<std::string, std::string, std::less<>>*>(target);
+    query[name] = value == nullptr ? "" : value;
+    return MHD_YES;
+}
+
+void add_headers(MHD_Response* response, const http_server::headers& fields)
+{
+    for (const auto& [name, value] : fields) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+}
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+class http_server::implementation {
+public:
+    implementation() = default;
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+    ~implementation() { stop(); }
+
+    outcome<void> start(const http_server_options& options, http_server_events events)
+    {
+        options_ = options;
+        events_ = std::move(events);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(options.port);
+        if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+            return failure(result_code::invalid_settings, "not an IPv4 address: " + options.address);
+        }
+        unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+        std::vector<MHD_OptionItem> items{
+            {MHD_OPTION_SOCK_ADDR, 0, &address},
+            {MHD_OPTION_CONNECTION_TIMEOUT, std::chrono::ceil<seconds>(options.idle_timeout).count(),
+             nullptr},
+            {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&implementation::on_completed),
+             this},
+            {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+        };
+        if (options.threads > 1) {
+            items.push_back(
+                {MHD_OPTION_THREAD_POOL_SIZE, static_cast<std::intptr_t>(options.threads), nullptr});
+        }
+        if (!options.tls_certificate_pem.empty()) {
+            flags |= MHD_USE_TLS;
+            items.push_back(
+                {MHD_OPTION_HTTPS_MEM_CERT, 0, const_cast<char*>(options_.tls_certificate_pem.c_str())});
+            items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, const_cast<char*>(options_.tls_key_pem.c_str())});
+        }
+        items.push_back({MHD_OPTION_END, 0, nullptr});
+        daemon_ = MHD_start_daemon(flags, options.port, nullptr, nullptr, &implementation::on_access, this,
+                                   MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+        if (daemon_ == nullptr) {
+            return failure(result_code::invalid_settings,
+                           "cannot listen on " + options.address + ":" + std::to_string(options.port));
+        }
+        running_ = true;
+        watcher_ = std::thread([this] { watch_sockets(); });
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    void stop()
+    {
+        if (daemon_ == nullptr) {
+            return;
+        }
+        {
+            const std::lock_guard lock(table_mutex_);
+            running_ = false;
+        }
+        watch_wakeup_.notify_all();
+        watcher_.join();
+        for (const auto& item : all()) {
+            const std::lock_guard lock(item->mutex);
+            item->aborted = true;
+            resume_locked(*item);
+        }
+        MHD_stop_daemon(daemon_);
+        daemon_ = nullptr;
+    }
+
+    std::uint16_t port() const
+    {
+        const auto* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
+        return info == nullptr ? std::uint16_t{0} : info->port;
+    }
+
+    /// Applies `change` to an exchange that is still there and lets its connection go on.
+    template <class Change> void change(exchange_id id, Change&& change)
+    {
+        const auto item = find(id);
+        if (item == nullptr) {
+            return;
+        }
+        const std::lock_guard lock(item->mutex);
+        std::forward<Change>(change)(*item);
+        resume_locked(*item);
+    }
+
+private:
+    exchange_ptr find(exchange_id id)
+    {
+        const std::lock_guard lock(table_mutex_);
+        const auto found = table_.find(id);
+        return found == table_.end() ? nullptr : found->second;
+    }
+
+    static MHD_Result on_access(void* self, MHD_Connection* connection, const char* url, const char* method,
+                                const char* /*version*/, const char* data, std::size_t* size, void** context)
+    {
+        return static_cast<implementation*>(self)->access(connection, url, method, data, size, context);
+    }
+
+    static void on_completed(void* self, MHD_Connection* /*connection*/, void** context,
+                             MHD_RequestTerminationCode code)
+    {
+        static_cast<implementation*>(self)->completed(context, code);
+    }
+
+    MHD_Result access(MHD_Connection* connection, const char* url, const char* method, const char* data,
+                      std::size_t* size, void** context)
+    {
+        if (*context == nullptr) {
+            *context = open(connection, url, method).get();
+            return MHD_YES;
+        }
+        auto& item = *static_cast<exchange*>(*context);
+        if (*size > 0) {
+            return receive(item, data, size);
+        }
+        if (!item.delivered) {
+            return deliver(item);
+        }
+        return queue_answer(item);
+    }
+
+    exchange_ptr open(MHD_Connection* connection, const char* url, const char* method)
+    {
+        auto item = std::make_shared<exchange>();
+        item->connection = connection;
+        item->socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        item->started = std::chrono::steady_clock::now();
+        item->drained = events_.on_drained;
+        item->request.method = method;
+        item->request.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header, &item->request.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_query, &item->request.query);
+        const std::lock_guard lock(table_mutex_);
+        item->id = ++last_id_;
+        item->request.exchange = item->id;
+        table_.emplace(item->id, item);
+        return item;
+    }
+
+    MHD_Result receive(exchange& item, const char* data, std::size_t* size)
+    {
+        auto& request = item.request;
+        if (std::chrono::steady_clock::now() - item.started > options_.receive_timeout) {
+            request.fault = receive_fault::too_slow;
+        }
+        if (request.body.size() + *size > options_.max_body) {
+            request.fault = receive_fault::too_large;
+        }
+        item.taken += *size;
+        if (request.fault == receive_fault::none) {
+            request.body.append(data, *size);
+        } else if (item.taken > options_.max_body * discard_factor ||
+                   request.fault == receive_fault::too_slow) {
+            return refuse_rest(item, size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+
+    /// The sender is not listened to any longer; it is told at once instead of after its last byte.
+    MHD_Result refuse_rest(exchange& item, std::size_t* size)
+    {
+        if (item.request.fault == receive_fault::too_large) {
+            return MHD_NO;
+        }
+        *size = 0;
+        item.request.body.clear();
+        return deliver(item);
+    }
+
+    MHD_Result deliver(exchange& item)
+    {
+        {
+            const std::lock_guard lock(item.mutex);
+            item.delivered = true;
+            item.taken = 0;
+            item.suspended = true;
+            MHD_suspend_connection(item.connection);
+        }
+        events_.on_request(std::move(item.request));
+        return MHD_YES;
+    }
+
+    MHD_Result queue_answer(exchange& item)
+    {
+        const std::lock_guard lock(item.mutex);
+        if (item.aborted) {
+            return MHD_NO;
+        }
+        MHD_Response* response = nullptr;
+        if (item.form == answer_form::whole) {
+            response = MHD_create_response_from_buffer(item.buffer.size(), item.buffer.data(),
+                                                       MHD_RESPMEM_MUST_COPY);
+        } else if (item.form == answer_form::stream) {
+            response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, stream_block_bytes,
+                                                         &implementation::on_read, &item, nullptr);
+        } else {
+            item.suspended = true;
+            MHD_suspend_connection(item.connection);
+            return MHD_YES;
+        }
+        add_headers(response, item.fields);
+        const auto result = MHD_queue_response(item.connection, item.status, response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    static ssize_t on_read(void* context, std::uint64_t /*position*/, char* target, std::size_t max)
+    {
+        auto& item = *static_cast<exchange*>(context);
+        const std::lock_guard lock(item.mutex);
+        if (item.aborted) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        const auto left = item.buffer.size() - item.taken;
+        if (left > 0) {
+            const auto count = std::min(left, max);
+            std::memcpy(target, item.buffer.data() + item.taken, count);
+            item.taken += count;
+            if (item.taken == item.buffer.size()) {
+                item.buffer.clear();
+                item.taken = 0;
+            }
+            notify_drained(item, count);
+            return static_cast<ssize_t>(count);
+        }
+        if (item.ended) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        item.suspended = true;
+        MHD_suspend_connection(item.connection);
+        return 0;
+    }
+
+    static void notify_drained(exchange& item, std::size_t count)
+    {
+        if (item.drained) {
+            item.drained(item.id, static_cast<std::uint32_t>(count));
+        }
+    }
+
+    void completed(void** context, MHD_RequestTerminationCode code)
+    {
+        auto* item = static_cast<exchange*>(*context);
+        if (item == nullptr) {
+            return;
+        }
+        *context = nullptr;
+        exchange_ptr owned;
+        {
+            const std::lock_guard lock(table_mutex_);
+            const auto found = table_.find(item->id);
+            if (found != table_.end()) {
+                owned = found->second;
+                table_.erase(found);
+            }
+        }
+        if (owned == nullptr) {
+            return;
+        }
+        {
+            const std::lock_guard lock(owned->mutex);
+            owned->gone = true;
+        }
+        if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && owned->delivered && events_.on_gone) {
+            events_.on_gone(owned->id);
+        }
+    }
+
+    std::vector<exchange_ptr> all()
+    {
+        const std::lock_guard lock(table_mutex_);
+        std::vector<exchange_ptr> result;
+        result.reserve(table_.size());
+        for (const auto& [id, item] : table_) {
+            result.push_back(item);
+        }
+        return result;
+    }
+
+    /// libmicrohttpd does not look at suspended connections, so callers that leave while they wait are found
+    /// here.
+    void watch_sockets()
+    {
+        std::unique_lock lock(table_mutex_);
+        while (running_) {
+            watch_wakeup_.wait_for(lock, watch_interval, [this] { return !running_; });
+            for (const auto& [id, item] : table_) {
+                const std::lock_guard item_lock(item->mutex);
+                if (!item->suspended || item->gone) {
+                    continue;
+                }
+                pollfd state{item->socket, POLLRDHUP, 0};
+                if (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+                    item->aborted = true;
+                    resume_locked(*item);
+                }
+            }
+        }
+    }
+
+    http_server_options options_;
+    http_server_events events_;
+    MHD_Daemon* daemon_{nullptr};
+    std::mutex table_mutex_;
+    std::condition_variable watch_wakeup_;
+    std::unordered_map<exchange_id, exchange_ptr> table_;
+    exchange_id last_id_{0};
+    bool running_{false};
+    std::thread watcher_;
+};
+
+http_server::http_server() : implementation_(std::make_unique<implementation>()) {}
+
+http_server::~http_server() = default;
+
+outcome<void> http_server::start(const http_server_options& options, http_server_events events)
+{
+    return implementation_->start(options, std::move(events));
+}
+
+void http_server::stop()
+{
+    implementation_->stop();
+}
+
+std::uint16_t http_server::port() const
+{
+    return implementation_->port();
+}
+
+void http_server::answer(exchange_id exchange, std::uint16_t status, const headers& fields, std::string body)
+{
+    implementation_->change(exchange, [&](auto& item) {
+        item.form = answer_form::whole;
+        item.status = status;
+        item.fields = fields;
+        item.buffer = std::move(body);
+    });
+}
+
+void http_server::begin(exchange_id exchange, std::uint16_t status, const headers& fields)
+{
+    implementation_->change(exchange, [&](auto& item) {
+        item.form = answer_form::stream;
+        item.status = status;
+        item.fields = fields;
+    });
+}
+
+void http_server::write(exchange_id exchange, std::string_view bytes)
+{
+    implementation_->change(exchange, [&](auto& item) { item.buffer.append(bytes); });
+}
+
+void http_server::end(exchange_id exchange)
+{
+    implementation_->change(exchange, [](auto& item) { item.ended = true; });
+}
+
+void http_server::abort(exchange_id exchange)
+{
+    implementation_->change(exchange, [](auto& item) { item.aborted = true; });
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/core/result_code.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+/// \file
+/// The numbered result codes that callers and operators see, with the table that documents them.
+
+namespace clementinegap {
+
+/// The number is part of the interface: a code keeps it for ever and a retired number is not used again.
+enum class result_code : std::uint16_t {
+    ok = 0,
+    malformed_body = 100,
+    body_too_large = 101,
+    unknown_class = 102,
+    unknown_model = 103,
+    key_required = 104,
+    key_reused = 105,
+    unauthorized = 106,
+    not_found = 107,
+    sender_too_slow = 108,
+    bad_header = 109,
+    rate_limited = 200,
+    overloaded = 201,
+    deadline_expired = 202,
+    quarantined = 203,
+    table_full = 204,
+    no_upstream = 300,
+    upstream_lost = 301,
+    upstream_failed = 302,
+    answer_truncated = 303,
+    outcome_unknown = 304,
+    store_unavailable = 305,
+    not_ready = 400,
+    leaving = 401,
+    shut_down = 402,
+    cancelled = 403,
+    conflict = 500,
+    invalid_settings = 501,
+    invalid_questionnaire = 502,
+    invalid_configuration = 503,
+    stale_fencing_number = 504,
+    store_answer_lost = 505,
+    internal = 900,
+};
+
+/// One row of the table in docs/codes.md.
+struct result_code_entry {
+    result_code code;
+    std::string_view name;
+    std::uint16_t http_status;
+    std::string_view text;
+};
+
+/// All codes, in the order of their numbers.
+std::span<const result_code_entry> result_codes();
+
+/// The row of `code`; `internal` for a number that is not in the table.
+const result_code_entry& describe(result_code code);
+
+/// What is known about whether a request ran at an upstream.
+enum class ran_state : std::uint8_t { no, unknown, yes };
+
+std::string_view to_string(ran_state ran);
+
+} // namespace clementinegap
--- /dev/null
+++ b/main/entry_daemon.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "adapters/caller_gateway.h"
+#include "adapters/decision_thread.h"
+#include "adapters/peer_client.h"
+#include "main/daemon_base.h"
+#include "request/entry_core.h"
+
+#include <memory>
+
+namespace clementinegap {
+
+/// A daemon in the entry role.
+class entry_daemon : public daemon_base {
+public:
+    explicit entry_daemon(settings values);
+    ~entry_daemon() override;
+
+protected:
+    outcome<void> start() override;
+    void begin_drain() override;
+    void stop() override;
+    void configure(configuration_ptr value) override;
+    void vms_listed(const std::vector<listed_vm>& vms) override;
+    bool ready() const override { return ready_; }
+
+private:
+    using thread = decision_thread<entry_core, entry_event, entry_action>;
+
+    void perform(const entry_action& action, time_point now);
+    void measure(const request_measured& action);
+
+    thread decisions_;
+    caller_gateway callers_;
+    std::unique_ptr<peer_client> peers_;
+    std::atomic<bool> ready_{false};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/main/upstream_daemon.cpp
@@ -0,0 +1,92 @@
+#include "main/upstream_daemon.h"
+
+#include <random>
+#include <utility>
+
+namespace clementinegap {
+namespace {
+
+upstream_settings core_settings(const settings& values)
+{
+    upstream_settings result;
+    result.vm = values.vm;
+    result.zone = values.zone;
+    result.region = values.region;
+    std::random_device device;
+    result.incarnation = (std::uint64_t{device()} << 32U) | device();
+    result.models = values.models;
+    result.slots = values.slots;
+    result.max_queue = values.max_queue;
+    if (values.naive) {
+        result.order = fifo_order{};
+    }
+    return result;
+}
+
+} // namespace
+
+upstream_daemon::upstream_daemon(settings values)
+    : daemon_base(std::move(values)),
+      decisions_(upstream_core(core_settings(settings_)), settings_.ring_capacity,
+                 [this](const upstream_action& action, time_point now) { perform(action, now); }),
+      runs_(*platform_, [this](upstream_event event) { return decisions_.post(std::move(event)); }),
+      engine_(settings_.engine_url,
+              [this](upstream_event event) { return decisions_.post(std::move(event)); })
+{
+}
+
+upstream_daemon::~upstream_daemon() = default;
+
+outcome<void> upstream_daemon::start()
+{
+    BOOST_OUTCOME_TRY(credentials, load_peer_credentials());
+    peers_ = std::make_unique<peer_server>(
+        [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials));
+    decisions_.on_idle([this](const upstream_core& core) {
+        ready_ = core.ready();
+        metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
+        metrics_.set("clementinegap_busy_slots", core.busy_slots());
+    });
+    decisions_.start();
+    return peers_->start(settings_.peer_address);
+}
+
+void upstream_daemon::begin_drain()
+{
+    decisions_.post(drain_started{});
+}
+
+void upstream_daemon::stop()
+{
+    if (peers_) {
+        peers_->stop();
+    }
+    decisions_.stop();
+}
+
+void upstream_daemon::configure(configuration_ptr value)
+{
+    decisions_.post(configuration_applied{std::move(value)});
+}
+
+void upstream_daemon::vms_listed(const std::vector<listed_vm>& /*vms*/)
+{
+    // Entries connect to upstream daemons, not the other way round.
+}
+
+void upstream_daemon::perform(const upstream_action& action, time_point now)
+{
+    std::visit(overloaded{[&](const send_to_entry& value) { peers_->send(value.session, value.message); },
+                          [&](const engine_start& value) { engine_.start(value); },
+                          [&](const engine_cancel& value) { engine_.cancel(value.run); },
+                          [&](const engine_hold& value) { engine_.hold(value.run); },
+                          [&](const engine_read& value) { engine_.read(value.run); },
+                          [&](const claim_run& value) { runs_.claim(value); },
+                          [&](const read_run& value) { runs_.read(value); },
+                          [&](const finish_run& value) { runs_.finish(value); },
+                          [&](const emit_record& value) { apply(value, now); },
+                          [&](const drained&) { drain_finished(); }},
+               action);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/main/upstream_daemon.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "adapters/decision_thread.h"
+#include "adapters/engine_gateway.h"
+#include "adapters/peer_server.h"
+#include "adapters/run_store.h"
+#include "main/daemon_base.h"
+#include "request/upstream_core.h"
+
+#include <memory>
+
+namespace clementinegap {
+
+/// A daemon in the upstream role.
+class upstream_daemon : public daemon_base {
+public:
+    explicit upstream_daemon(settings values);
+    ~upstream_daemon() override;
+
+protected:
+    outcome<void> start() override;
+    void begin_drain() override;
+    void stop() override;
+    void configure(configuration_ptr value) override;
+    void vms_listed(const std::vector<listed_vm>& vms) override;
+    bool ready() const override { return ready_; }
+
+private:
+    using thread = decision_thread<upstream_core, upstream_event, upstream_action>;
+
+    void perform(const upstream_action& action, time_point now);
+
+    thread decisions_;
+    run_store runs_;
+    engine_gateway engine_;
+    std::unique_ptr<peer_server> peers_;
+    std::atomic<bool> ready_{false};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/policy/upstream_view.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// What an entry daemon knows of one upstream: soft state that may be late, used for placement only.
+struct upstream_view {
+    std::string vm;
+    std::string zone;
+    std::string region;
+    std::uint64_t incarnation{0};
+    std::vector<std::string> models;
+    std::uint32_t slots{0};
+    std::uint32_t free_slots{0};
+    std::uint32_t queued{0};
+    duration expected_wait{0};
+    bool slowed{false};
+    bool leaving{false};
+    bool connected{false};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/ports/engine_port.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "request/upstream_events.h"
+
+namespace clementinegap {
+
+/// The model engine or plain service beside an upstream daemon. Answers come as engine events.
+class engine_port {
+public:
+    engine_port() = default;
+    engine_port(const engine_port&) = delete;
+    engine_port& operator=(const engine_port&) = delete;
+    virtual ~engine_port() = default;
+
+    virtual void start(const engine_start& run) = 0;
+    virtual void cancel(run_id run) = 0;
+    virtual void hold(run_id run) = 0;
+    virtual void read(run_id run) = 0;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/entry_core.cpp
@@ -0,0 +1,593 @@
+#include "request/entry_core.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementinegap {
+namespace {
+
+constexpr duration default_retry_after = seconds(1);
+constexpr std::string_view stream_content_type = "text/event-stream";
+
+bool is_stream(std::string_view content_type)
+{
+    return content_type.starts_with(stream_content_type);
+}
+
+std::string hexadecimal(std::uint64_t value)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (std::size_t i = text.size(); i-- > 0; value >>= 4U) {
+        text[i] = digits[value & 15U];
+    }
+    return text;
+}
+
+bool serves(const upstream_view& view, std::string_view model)
+{
+    return std::ranges::find(view.models, model) != view.models.end();
+}
+
+} // namespace
+
+entry_core::entry_core(entry_settings settings) : settings_(std::move(settings)), random_(settings_.seed) {}
+
+std::span<const entry_action> entry_core::on_event(const entry_event& event, time_point now)
+{
+    actions_.clear();
+    now_ = std::max(now_, now);
+    timers_.run_due(now_);
+    std::visit([this](const auto& value) { handle(value); }, event);
+    return actions_;
+}
+
+// --- Admission
+// ------------------------------------------------------------------------------------------------
+
+void entry_core::handle(const caller_request& event)
+{
+    if (const auto notice = refuse_at_admission(event)) {
+        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        return;
+    }
+    const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
+    const auto request = admit(event, *class_of(event), owner);
+    record(*request, "request.admitted", "", "class " + request->rules.name);
+    place(request);
+}
+
+const request_class* entry_core::class_of(const caller_request& input) const
+{
+    return input.class_name.empty() ? configuration_->classify(input.path, input.model)
+                                    : configuration_->find_class(input.class_name);
+}
+
+std::optional<failure_notice> entry_core::refuse_at_admission(const caller_request& input) const
+{
+    if (configuration_ == nullptr) {
+        return failure_notice{result_code::not_ready, ran_state::no, default_retry_after, ""};
+    }
+    if (configuration_->shutdown.ends_at && now_ >= *configuration_->shutdown.ends_at) {
+        return failure_notice{result_code::shut_down, ran_state::no, duration::zero(), ""};
+    }
+    if (draining_) {
+        return failure_notice{result_code::leaving, ran_state::no, default_retry_after, ""};
+    }
+    if (configuration_->find_workspace_by_key(input.key_sha256) == nullptr) {
+        return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
+    }
+    if (input.malformed) {
+        return failure_notice{result_code::malformed_body, ran_state::no, duration::zero(), ""};
+    }
+    const auto* rules = class_of(input);
+    if (rules == nullptr) {
+        return failure_notice{result_code::unknown_class, ran_state::no, duration::zero(), ""};
+    }
+    if (rules->key_required && input.idempotency_key.empty()) {
+        return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
+    }
+    if (requests_.size() >= settings_.max_requests) {
+        return failure_notice{result_code::table_full, ran_state::no, default_retry_after, ""};
+    }
+    return std::nullopt;
+}
+
+entry_core::request_ptr entry_core::admit(const caller_request& input, const request_class& rules,
+                                          const workspace& owner)
+{
+    auto request = std::make_shared<entry_request>();
+    request->input = input;
+    request->id = new_request_id();
+    request->rules = rules;
+    request->workspace = owner.name;
+    request->workspace_weight = owner.weight;
+    request->fingerprint = sha256_hex({owner.name, input.path, input.body});
+    request->arrived = now_;
+    request->deadline_at = now_ + std::min(rules.deadline, input.deadline.value_or(rules.deadline));
+    request->target_at = now_ + rules.first_token_target;
+    request->deadline_timer =
+        timers_.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
+    requests_.emplace(input.caller, request);
+    return request;
+}
+
+// --- Placement
+// ------------------------------------------------------------------------------------------------
+
+std::vector<const upstream_view*> entry_core::candidates(const entry_request& request) const
+{
+    // A class names the model that serves it; requests may ask for another model by name.
+    const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
+    std::vector<const upstream_view*> result;
+    for (const auto& [vm, view] : upstreams_) {
+        if (view.connected && !view.leaving && serves(view, model)) {
+            result.push_back(&view);
+        }
+    }
+    return result;
+}
+
+void entry_core::place(const request_ptr& request)
+{
+    const auto possible = candidates(*request);
+    if (possible.empty()) {
+        place_later(request);
+        return;
+    }
+    const placement_request about{settings_.zone, static_cast<std::uint8_t>(request->rules.tier),
+                                  request->input.prefix_hashes};
+    const auto chosen = std::visit(
+        [&](const auto& policy) {
+            return policy.choose(std::span<const upstream_view* const>(possible), about, random_);
+        },
+        settings_.placement);
+    for (const auto index : chosen) {
+        reserve(request, *possible[index]);
+    }
+}
+
+void entry_core::reserve(const request_ptr& request, const upstream_view& view)
+{
+    const attempt_id attempt{settings_.incarnation, ++last_attempt_};
+    request->reservations.push_back({view.vm, attempt});
+    attempts_.emplace(attempt, request);
+    reserve_message message;
+    message.attempt = attempt;
+    message.request_id = request->id;
+    message.workspace = request->workspace;
+    message.workspace_weight = request->workspace_weight;
+    message.class_name = request->rules.name;
+    message.model = request->input.model;
+    message.tier = static_cast<std::uint8_t>(request->rules.tier);
+    message.never_repeat = request->rules.repeat == repeat_rule::never;
+    message.key = request->input.idempotency_key;
+    message.fingerprint = request->fingerprint;
+    message.prompt_tokens = request->input.prompt_tokens;
+    message.quantum_tokens = request->rules.quantum_tokens;
+    message.time_left = request->deadline_at - now_;
+    message.target_left = request->target_at - now_;
+    message.starvation_bound = request->rules.starvation_bound;
+    message.prefix_hashes = request->input.prefix_hashes;
+    actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
+    record(*request, "request.reserved", view.vm, "");
+}
+
+void entry_core::place_later(const request_ptr& request)
+{
+    const bool out_of_patience = now_ >= request->arrived + settings_.placement_patience;
+    if (out_of_patience) {
+        fail(request, {request->last_refusal, request->dispatches == 0 ? ran_state::no : ran_state::yes,
+                       std::max(request->last_retry_after, default_retry_after), ""});
+        return;
+    }
+    request->retry_timer = timers_.schedule(now_ + settings_.placement_interval, [this, request](time_point) {
+        request->retry_timer = 0;
+        place(request);
+    });
+}
+
+void entry_core::withdraw_reservations(entry_request& request, const attempt_id* except)
+{
+    for (const auto& open : request.reservations) {
+        if (except != nullptr && open.attempt == *except) {
+            continue;
+        }
+        attempts_.erase(open.attempt);
+        actions_.emplace_back(send_to_upstream{open.vm, cancel_message{open.attempt}});
+    }
+    request.reservations.clear();
+}
+
+void entry_core::drop_reservation(const request_ptr& request, attempt_id attempt)
+{
+    std::erase_if(request->reservations, [&](const reservation& open) { return open.attempt == attempt; });
+    attempts_.erase(attempt);
+    if (request->reservations.empty() && !request->running) {
+        place_later(request);
+    }
+}
+
+void entry_core::dispatch(const request_ptr& request, const reservation& granted)
+{
+    request->running = running_attempt{granted.vm, granted.attempt};
+    ++request->dispatches;
+    request->received = 0;
+    dispatch_message message;
+    message.attempt = granted.attempt;
+    message.method = request->input.method;
+    message.path = request->input.path;
+    message.content_type = request->input.content_type;
+    message.body = request->input.body;
+    actions_.emplace_back(send_to_upstream{granted.vm, std::move(message)});
+    record(*request, "request.dispatched", granted.vm, "first upstream to grant a slot");
+}
+
+// --- Messages of upstream daemons
+// -----------------------------------------------------------------------------
+
+void entry_core::handle(const upstream_connected& event)
+{
+    auto& view = upstreams_[event.vm];
+    view.vm = event.vm;
+}
+
+void entry_core::handle(const upstream_disconnected& event)
+{
+    const auto found = upstreams_.find(event.vm);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    found->second.connected = false;
+    std::vector<std::pair<attempt_id, request_ptr>> affected;
+    for (const auto& [attempt, request] : attempts_) {
+        const bool runs_there =
+            request->running && request->running->attempt == attempt && request->running->vm == event.vm;
+        const bool waits_there = std::ranges::any_of(request->reservations, [&](const reservation& open) {
+            return open.attempt == attempt && open.vm == event.vm;
+        });
+        if (runs_there || waits_there) {
+            affected.emplace_back(attempt, request);
+        }
+    }
+    for (const auto& [attempt, request] : affected) {
+        if (is_running(*request, attempt)) {
+            attempt_lost(request, result_code::upstream_lost, ran_state::unknown);
+        } else {
+            drop_reservation(request, attempt);
+        }
+    }
+}
+
+void entry_core::handle(const upstream_said& event)
+{
+    std::visit([&](const auto& message) { on_message(event.vm, message); }, event.message);
+}
+
+void entry_core::on_message(const std::string& vm, const hello_message& message)
+{
+    auto& view = upstreams_[vm];
+    view.vm = vm;
+    view.zone = message.zone;
+    view.region = message.region;
+    view.incarnation = message.incarnation;
+    view.models = message.models;
+    view.slots = message.slots;
+    view.free_slots = message.slots;
+    view.queued = 0;
+    view.leaving = message.leaving;
+    view.connected = true;
+}
+
+void entry_core::on_message(const std::string& vm, const load_message& message)
+{
+    const auto found = upstreams_.find(vm);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    auto& view = found->second;
+    view.free_slots = message.free_slots;
+    view.queued = message.queued;
+    view.expected_wait = message.expected_wait;
+    view.slowed = message.slowed;
+    view.leaving = message.leaving;
+}
+
+void entry_core::on_message(const std::string& vm, const granted_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr || request->running) {
+        actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
+        return;
+    }
+    withdraw_reservations(*request, &message.attempt);
+    dispatch(request, {vm, message.attempt});
+}
+
+void entry_core::on_message(const std::string& vm, const refused_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr) {
+        return;
+    }
+    record(*request, "request.refused", vm, std::string(describe(message.code).name));
+    request->last_refusal = message.code;
+    request->last_retry_after = message.retry_after;
+    if (is_running(*request, message.attempt)) {
+        // Refused after the dispatch: it never started, so it does not count as an attempt that ran.
+        request->running.reset();
+        --request->dispatches;
+    }
+    drop_reservation(request, message.attempt);
+}
+
+void entry_core::on_message(const std::string& vm, const started_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr || !is_running(*request, message.attempt)) {
+        return;
+    }
+    request->running->started = true;
+    record(*request, "request.started", vm, "");
+}
+
+void entry_core::on_message(const std::string& /*vm*/, const head_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr || !is_running(*request, message.attempt)) {
+        return;
+    }
+    request->status = message.status;
+    request->content_type = message.content_type;
+}
+
+void entry_core::on_message(const std::string& vm, const chunk_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr || !is_running(*request, message.attempt)) {
+        return;
+    }
+    if (message.offset != request->received) {
+        // A gap or a repetition can only come from a fault of the peer; the answer would not be the
+        // upstream's.
+        actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
+        attempt_lost(request, result_code::answer_truncated, ran_state::yes);
+        return;
+    }
+    request->received += message.bytes.size();
+    request->tokens = message.tokens;
+    if (request->first_token_at == never) {
+        request->first_token_at = now_;
+        record(*request, "request.first_token", vm, "");
+    }
+    deliver(*request, message.bytes);
+}
+
+void entry_core::on_message(const std::string& /*vm*/, const finished_message& message)
+{
+    const auto request = find_attempt(message.attempt);
+    if (request == nullptr || !is_running(*request, message.attempt)) {
+        return;
+    }
+    if (message.code == result_code::ok) {
+        complete(request);
+        return;
+    }
+    attempt_lost(request, message.code, message.ran);
+}
+
+// --- Answers
+// --------------------------------------------------------------------------------------------------
+
+header_list entry_core::answer_headers(const entry_request& request) const
+{
+    return {{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
+}
+
+void entry_core::send_head(entry_request& request)
+{
+    request.head_sent = true;
+    actions_.emplace_back(answer_head{request.input.caller, request.status, answer_headers(request)});
+}
+
+void entry_core::deliver(entry_request& request, std::string bytes)
+{
+    if (request.caller_left) {
+        const auto size = static_cast<std::uint32_t>(bytes.size());
+        actions_.emplace_back(
+            send_to_upstream{request.running->vm, credit_message{request.running->attempt, size}});
+        return;
+    }
+    const bool hold = !is_stream(request.content_type) && !request.head_sent &&
+                      request.held.size() + bytes.size() <= settings_.max_held_bytes;
+    if (hold) {
+        const auto size = static_cast<std::uint32_t>(bytes.size());
+        request.held += bytes;
+        actions_.emplace_back(
+            send_to_upstream{request.running->vm, credit_message{request.running->attempt, size}});
+        return;
+    }
+    if (!request.head_sent) {
+        send_head(request);
+    }
+    if (!request.held.empty()) {
+        actions_.emplace_back(answer_bytes{request.input.caller, std::exchange(request.held, {})});
+    }
+    actions_.emplace_back(answer_bytes{request.input.caller, std::move(bytes)});
+}
+
+void entry_core::handle(const caller_drained& event)
+{
+    const auto found = requests_.find(event.caller);
+    if (found == requests_.end() || !found->second->running) {
+        return;
+    }
+    const auto& running = *found->second->running;
+    actions_.emplace_back(send_to_upstream{running.vm, credit_message{running.attempt, event.bytes}});
+}
+
+void entry_core::complete(const request_ptr& request)
+{
+    if (!request->caller_left) {
+        if (request->head_sent) {
+            actions_.emplace_back(answer_end{request->input.caller});
+        } else {
+            actions_.emplace_back(answer_whole{request->input.caller, request->status,
+                                               answer_headers(*request), std::exchange(request->held, {})});
+        }
+    }
+    finish(request, result_code::ok, ran_state::yes);
+}
+
+bool entry_core::may_start_again(const entry_request& request) const
+{
+    return request.rules.repeat != repeat_rule::never && !request.head_sent && !request.caller_left &&
+           request.dispatches < settings_.max_dispatches;
+}
+
+void entry_core::attempt_lost(const request_ptr& request, result_code code, ran_state ran)
+{
+    const auto lost = *request->running;
+    attempts_.erase(lost.attempt);
+    request->running.reset();
+    record(*request, "request.attempt_lost", lost.vm, std::string(describe(code).name));
+    request->last_refusal = code;
+    if (!may_start_again(*request)) {
+        fail(request, {code, ran, duration::zero(), ""});
+        return;
+    }
+    request->held.clear();
+    request->tokens = 0;
+    place(request);
+}
+
+void entry_core::on_deadline(const request_ptr& request)
+{
+    request->deadline_timer = 0;
+    auto ran = request->dispatches == 0 ? ran_state::no : ran_state::unknown;
+    if (request->running && request->running->started) {
+        ran = ran_state::yes;
+    }
+    fail(request, {result_code::deadline_expired, ran, duration::zero(), ""});
+}
+
+void entry_core::fail(const request_ptr& request, const failure_notice& notice)
+{
+    if (!request->caller_left) {
+        if (!request->head_sent) {
+            actions_.emplace_back(failure_answer(request->input.caller, notice, request->id));
+        } else if (is_stream(request->content_type)) {
+            actions_.emplace_back(
+                answer_bytes{request->input.caller, failure_stream_event(notice, request->id)});
+            actions_.emplace_back(answer_end{request->input.caller});
+        } else {
+            actions_.emplace_back(answer_abort{request->input.caller});
+        }
+    }
+    finish(request, notice.code, notice.ran);
+}
+
+void entry_core::finish(const request_ptr& request, result_code code, ran_state ran)
+{
+    withdraw_reservations(*request, nullptr);
+    if (request->running) {
+        attempts_.erase(request->running->attempt);
+        if (code != result_code::ok) {
+            actions_.emplace_back(
+                send_to_upstream{request->running->vm, cancel_message{request->running->attempt}});
+        }
+        request->running.reset();
+    }
+    timers_.cancel(std::exchange(request->deadline_timer, 0));
+    timers_.cancel(std::exchange(request->retry_timer, 0));
+    const bool has_token = request->first_token_at != never;
+    request_measured measured;
+    measured.class_name = request->rules.name;
+    measured.code = code;
+    measured.ran = ran;
+    measured.first_token = has_token ? request->first_token_at - request->arrived : duration::zero();
+    measured.total = now_ - request->arrived;
+    measured.tokens = request->tokens;
+    measured.target_met =
+        code == result_code::ok && has_token && request->first_token_at <= request->target_at;
+    actions_.emplace_back(measured);
+    record(*request, "request.ended", "",
+           std::string(describe(code).name) + ", ran " + std::string(to_string(ran)));
+    requests_.erase(request->input.caller);
+    if (draining_ && requests_.empty()) {
+        actions_.emplace_back(drained{});
+    }
+}
+
+// --- The rest
+// -------------------------------------------------------------------------------------------------
+
+void entry_core::handle(const caller_gone& event)
+{
+    const auto found = requests_.find(event.caller);
+    if (found == requests_.end()) {
+        return;
+    }
+    const auto request = found->second;
+    request->caller_left = true;
+    const bool runs_to_its_end = request->running && request->rules.repeat == repeat_rule::never;
+    if (!runs_to_its_end) {
+        finish(request, result_code::cancelled,
+               request->dispatches == 0 ? ran_state::no : ran_state::unknown);
+    }
+}
+
+void entry_core::handle(const configuration_applied& event)
+{
+    const bool newer = configuration_ == nullptr || event.value->version > configuration_->version;
+    if (!newer) {
+        return;
+    }
+    configuration_ = event.value;
+    actions_.emplace_back(emit_record{
+        {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
+}
+
+void entry_core::handle(const drain_started& /*event*/)
+{
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    actions_.emplace_back(emit_record{{"drain.started", "", "", "", "", ""}});
+    if (requests_.empty()) {
+        actions_.emplace_back(drained{});
+    }
+}
+
+void entry_core::handle(const tick& /*event*/)
+{
+    // Due timers run before every event.
+}
+
+entry_core::request_ptr entry_core::find_attempt(attempt_id attempt) const
+{
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? nullptr : found->second;
+}
+
+bool entry_core::is_running(const entry_request& request, attempt_id attempt) const
+{
+    return request.running && request.running->attempt == attempt;
+}
+
+void entry_core::record(const entry_request& request, std::string kind, std::string upstream,
+                        std::string detail)
+{
+    actions_.emplace_back(emit_record{{std::move(kind), request.id, request.rules.name, request.workspace,
+                                       std::move(upstream), std::move(detail)}});
+}
+
+std::string entry_core::new_request_id()
+{
+    return hexadecimal(settings_.incarnation) + hexadecimal(++last_request_).substr(4);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/entry_core.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "policy/placement.h"
+#include "policy/upstream_view.h"
+#include "request/entry_events.h"
+#include "request/entry_request.h"
+#include "request/failure_answer.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinegap {
+
+/// Bounds and identity of an entry daemon's core.
+struct entry_settings {
+    std::string vm;
+    std::string zone;
+    std::uint64_t incarnation{1};
+    std::uint64_t seed{1};
+    std::size_t max_requests{4096};
+    std::size_t max_held_bytes{1U << 20U}; ///< Of an answer that is not streamed.
+    std::uint32_t max_dispatches{3};       ///< Attempts of one repeatable request.
+    duration placement_interval{milliseconds(50)};
+    duration placement_patience{seconds(1)}; ///< How long a request waits for a first reachable upstream.
+    placement_policy placement{late_bound_placement{}};
+};
+
+/// The decisions of an entry daemon: admits requests, reserves slots, dispatches, relays answers, tells the
+/// truth about failures. Pure: no I/O, threads or clock.
+class entry_core {
+public:
+    explicit entry_core(entry_settings settings);
+
+    /// Takes one event and returns what is to be done; the span is valid until the next call.
+    std::span<const entry_action> on_event(const entry_event& event, time_point now);
+
+    /// When `tick` is due at the latest.
+    time_point next_due() const { return timers_.next_due(); }
+
+    std::size_t request_count() const { return requests_.size(); }
+    bool ready() const { return configuration_ != nullptr && !draining_; }
+    const configuration* current_configuration() const { return configuration_.get(); }
+    const std::map<std::string, upstream_view, std::less<>>& upstreams() const { return upstreams_; }
+
+private:
+    using request_ptr = std::shared_ptr<entry_request>;
+
+    void handle(const caller_request& event);
+    void handle(const caller_gone& event);
+    void handle(const caller_drained& event);
+    void handle(const upstream_connected& event);
+    void handle(const upstream_disconnected& event);
+    void handle(const upstream_said& event);
+    void handle(const configuration_applied& event);
+    void handle(const drain_started& event);
+    void handle(const tick& event);
+
+    void on_message(const std::string& vm, const hello_message& message);
+    void on_message(const std::string& vm, const load_message& message);
+    void on_message(const std::string& vm, const granted_message& message);
+    void on_message(const std::string& vm, const refused_message& message);
+    void on_message(const std::string& vm, const started_message& message);
+    void on_message(const std::string& vm, const head_message& message);
+    void on_message(const std::string& vm, const chunk_message& message);
+    void on_message(const std::string& vm, const finished_message& message);
+
+    std::optional<failure_notice> refuse_at_admission(const caller_request& input) const;
+    request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
+    const request_class* class_of(const caller_request& input) const;
+
+    void place(const request_ptr& request);
+    std::vector<const upstream_view*> candidates(const entry_request& request) const;
+    void reserve(const request_ptr& request, const upstream_view& view);
+    void place_later(const request_ptr& request);
+    void dispatch(const request_ptr& request, const reservation& granted);
+    void withdraw_reservations(entry_request& request, const attempt_id* except);
+    void drop_reservation(const request_ptr& request, attempt_id attempt);
+
+    void deliver(entry_request& request, std::string bytes);
+    void send_head(entry_request& request);
+    void attempt_lost(const request_ptr& request, result_code code, ran_state ran);
+    bool may_start_again(const entry_request& request) const;
+    void on_deadline(const request_ptr& request);
+    void fail(const request_ptr& request, const failure_notice& notice);
+    void complete(const request_ptr& request);
+    void finish(const request_ptr& request, result_code code, ran_state ran);
+
+    request_ptr find_attempt(attempt_id attempt) const;
+    bool is_running(const entry_request& request, attempt_id attempt) const;
+    void record(const entry_request& request, std::string kind, std::string upstream, std::string detail);
+    header_list answer_headers(const entry_request& request) const;
+    std::string new_request_id();
+
+    entry_settings settings_;
+    random_engine random_;
+    timer_service timers_;
+    time_point now_{};
+    configuration_ptr configuration_;
+    std::map<std::string, upstream_view, std::less<>> upstreams_;
+    std::unordered_map<caller_id, request_ptr> requests_;
+    std::map<attempt_id, request_ptr> attempts_;
+    std::uint64_t last_attempt_{0};
+    std::uint64_t last_request_{0};
+    bool draining_{false};
+    std::vector<entry_action> actions_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/entry_events.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "core/event_record.h"
+#include "core/result_code.h"
+#include "core/time.h"
+#include "request/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// \file
+/// What an entry daemon's decision core is told and what it asks for.
+
+namespace clementinegap {
+
+/// Names a caller's open HTTP exchange within the daemon.
+using caller_id = std::uint64_t;
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+/// A complete request of a caller, as the HTTP adapter parsed it.
+struct caller_request {
+    caller_id caller{0};
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string key_sha256; ///< SHA-256 of the bearer key; empty without one.
+    std::string class_name; ///< From the class header; empty without one.
+    std::string idempotency_key;
+    std::optional<duration> deadline; ///< From the deadline header.
+    std::string model;                ///< The body's model, or the service of the path.
+    bool stream{false};
+    bool malformed{false}; ///< The body is not JSON where the path requires it.
+    std::string body;
+    std::uint32_t prompt_tokens{0};
+    std::vector<std::uint64_t> prefix_hashes;
+};
+
+struct caller_gone {
+    caller_id caller{0};
+};
+
+/// The caller took this many more bytes of its answer.
+struct caller_drained {
+    caller_id caller{0};
+    std::uint32_t bytes{0};
+};
+
+struct upstream_connected {
+    std::string vm;
+};
+
+struct upstream_disconnected {
+    std::string vm;
+};
+
+struct upstream_said {
+    std::string vm;
+    upstream_message message;
+};
+
+struct configuration_applied {
+    configuration_ptr value;
+};
+
+/// A planned stop begins: nothing new is admitted, what is admitted is finished.
+struct drain_started {};
+
+/// Time passed; due timers run.
+struct tick {};
+
+using entry_event =
+    std::variant<caller_request, caller_gone, caller_drained, upstream_connected, upstream_disconnected,
+                 upstream_said, configuration_applied, drain_started, tick>;
+
+struct send_to_upstream {
+    std::string vm;
+    entry_message message;
+};
+
+/// Starts an answer whose body follows in pieces.
+struct answer_head {
+    caller_id caller{0};
+    std::uint16_t status{200};
+    header_list headers;
+};
+
+struct answer_bytes {
+    caller_id caller{0};
+    std::string bytes;
+};
+
+struct answer_end {
+    caller_id caller{0};
+};
+
+/// A whole answer at once.
+struct answer_whole {
+    caller_id caller{0};
+    std::uint16_t status{200};
+    header_list headers;
+    std::string body;
+};
+
+/// Cuts the connection, because the answer cannot be completed and its form has no end-of-failure mark.
+struct answer_abort {
+    caller_id caller{0};
+};
+
+struct emit_record {
+    event_record record;
+};
+
+/// The end of a request, for metrics.
+struct request_measured {
+    std::string class_name;
+    result_code code{result_code::ok};
+    ran_state ran{ran_state::yes};
+    duration first_token{0}; ///< Zero when no token came.
+    duration total{0};
+    std::uint32_t tokens{0};
+    bool target_met{false};
+};
+
+/// The core holds no request any more after a drain; the daemon may exit.
+struct drained {};
+
+using entry_action = std::variant<send_to_upstream, answer_head, answer_bytes, answer_end, answer_whole,
+                                  answer_abort, emit_record, request_measured, drained>;
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/entry_request.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "core/timer_service.h"
+#include "request/entry_events.h"
+#include "request/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// An open question to an upstream daemon for a slot.
+struct reservation {
+    std::string vm;
+    attempt_id attempt;
+};
+
+/// The attempt that was dispatched.
+struct running_attempt {
+    std::string vm;
+    attempt_id attempt;
+    bool started{false};
+};
+
+/// What an entry daemon holds of one request from its admission to its end.
+struct entry_request {
+    caller_request input;
+    std::string id;
+    request_class rules; ///< A copy: a change of configuration does not alter requests under way.
+    std::string workspace;
+    double workspace_weight{1};
+    std::string fingerprint;
+    time_point arrived;
+    time_point deadline_at;
+    time_point target_at;
+    std::vector<reservation> reservations;
+    std::optional<running_attempt> running;
+    std::uint32_t dispatches{0};
+    bool caller_left{false};
+    bool head_sent{false};
+    std::uint16_t status{0};
+    std::string content_type;
+    std::string held;          ///< Bytes of an answer that is not streamed, kept until it is whole.
+    std::uint64_t received{0}; ///< Bytes of the running attempt's answer.
+    std::uint32_t tokens{0};   ///< Tokens received.
+    time_point first_token_at{never};
+    result_code last_refusal{result_code::no_upstream};
+    duration last_retry_after{0};
+    timer_service::timer_id deadline_timer{0};
+    timer_service::timer_id retry_timer{0};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/failure_answer.cpp
@@ -0,0 +1,53 @@
+#include "request/failure_answer.h"
+
+#include "core/checked_json.h"
+
+namespace clementinegap {
+namespace {
+
+json failure_json(const failure_notice& notice, std::string_view request_id)
+{
+    const auto& entry = describe(notice.code);
+    json body{{"code", static_cast<int>(notice.code)},
+              {"type", std::string(entry.name)},
+              {"message", notice.detail.empty() ? std::string(entry.text) : notice.detail},
+              {"ran", std::string(to_string(notice.ran))},
+              {"request_id", std::string(request_id)}};
+    if (notice.retry_after > duration::zero()) {
+        body["retry_after_ms"] = to_milliseconds(notice.retry_after);
+    }
+    return json{{"error", std::move(body)}};
+}
+
+std::string whole_seconds(duration span)
+{
+    return std::to_string(std::chrono::ceil<seconds>(span).count());
+}
+
+} // namespace
+
+std::string failure_body(const failure_notice& notice, std::string_view request_id)
+{
+    return failure_json(notice, request_id).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+answer_whole failure_answer(caller_id caller, const failure_notice& notice, std::string_view request_id)
+{
+    answer_whole answer;
+    answer.caller = caller;
+    answer.status = describe(notice.code).http_status;
+    answer.headers = {{"Content-Type", "application/json"},
+                      {"Clementinegap-Request-Id", std::string(request_id)}};
+    if (notice.retry_after > duration::zero()) {
+        answer.headers.emplace_back("Retry-After", whole_seconds(notice.retry_after));
+    }
+    answer.body = failure_body(notice, request_id);
+    return answer;
+}
+
+std::string failure_stream_event(const failure_notice& notice, std::string_view request_id)
+{
+    return "event: error\ndata: " + failure_body(notice, request_id) + "\n\n";
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/run_record.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/result_code.h"
+#include "request/messages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// \file
+/// The run record of a keyed never-repeat request: the row of the table service that lets it start at most
+/// once.
+
+namespace clementinegap {
+
+enum class run_phase : std::uint8_t {
+    started, ///< Claimed; the request may be running or may have run.
+    finished ///< Ended, with the answer stored.
+};
+
+/// The answer kept for resends.
+struct stored_answer {
+    std::uint16_t status{0};
+    std::string content_type;
+    std::string body;
+    bool operator==(const stored_answer&) const = default;
+};
+
+struct run_record {
+    std::string workspace;
+    std::string key;
+    std::string fingerprint; ///< A resend with another fingerprint is another request under a used key.
+    attempt_id attempt;      ///< The attempt that won the claim.
+    std::string upstream;    ///< The VM that runs it.
+    std::uint64_t incarnation{0};
+    run_phase phase{run_phase::started};
+    result_code code{result_code::ok}; ///< Of the finished attempt.
+    std::optional<stored_answer> answer;
+    bool operator==(const run_record&) const = default;
+};
+
+enum class store_result : std::uint8_t {
+    done,        ///< Applied, or read.
+    exists,      ///< The row was there before; nothing was changed.
+    absent,      ///< The row to read is not there.
+    unavailable, ///< Certainly not applied.
+    unknown      ///< May or may not have been applied.
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/upstream_attempt.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "request/messages.h"
+#include "request/run_record.h"
+#include "request/upstream_events.h"
+
+#include <cstdint>
+#include <string>
+
+namespace clementinegap {
+
+/// The steps of an attempt at an upstream daemon. Only `running` and later may have touched the engine.
+enum class attempt_phase : std::uint8_t {
+    queued,   ///< Waits for a slot.
+    granted,  ///< Holds a slot and waits for the dispatch.
+    claiming, ///< Holds a slot and waits for the run record to be inserted.
+    running,  ///< The engine has it.
+    watching  ///< Another attempt owns the run record; waits for its outcome.
+};
+
+/// What an upstream daemon holds of one attempt from its reservation to its end.
+struct upstream_attempt {
+    std::uint64_t id{0}; ///< The daemon's own number; also names the run at the engine.
+    session_id session{0};
+    reserve_message reservation;
+    dispatch_message dispatch;
+    attempt_phase phase{attempt_phase::queued};
+    time_point arrived;
+    time_point deadline_at;
+    bool detached{false}; ///< The entry is gone; the run goes on because it may not be repeated.
+    bool on_hold{false};  ///< The engine's answer is not being read.
+    std::int64_t credit{0};
+    std::uint64_t sent{0};
+    std::uint32_t tokens{0};
+    std::uint16_t status{0};
+    std::string content_type;
+    std::string kept_answer; ///< Of a keyed request, for its resends.
+    timer_service::timer_id timer{0};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/upstream_core.cpp
@@ -0,0 +1,570 @@
+#include "request/upstream_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementinegap {
+namespace {
+
+constexpr duration default_retry_after = seconds(1);
+
+} // namespace
+
+upstream_core::upstream_core(upstream_settings settings) : settings_(std::move(settings)) {}
+
+std::span<const upstream_action> upstream_core::on_event(const upstream_event& event, time_point now)
+{
+    actions_.clear();
+    now_ = std::max(now_, now);
+    timers_.run_due(now_);
+    std::visit([this](const auto& value) { handle(value); }, event);
+    give_out_slots();
+    publish_load();
+    return actions_;
+}
+
+// --- Sessions with entry daemons
+// ------------------------------------------------------------------------------
+
+void upstream_core::handle(const entry_connected& event)
+{
+    sessions_.insert(event.session);
+    hello_message hello;
+    hello.vm = settings_.vm;
+    hello.zone = settings_.zone;
+    hello.region = settings_.region;
+    hello.incarnation = settings_.incarnation;
+    hello.models = settings_.models;
+    hello.slots = settings_.slots;
+    hello.leaving = draining_;
+    actions_.emplace_back(send_to_entry{event.session, hello});
+    actions_.emplace_back(send_to_entry{event.session, current_load()});
+}
+
+void upstream_core::handle(const entry_disconnected& event)
+{
+    sessions_.erase(event.session);
+    std::vector<attempt_ptr> orphans;
+    for (const auto& [id, attempt] : attempts_) {
+        if (attempt->session == event.session) {
+            orphans.push_back(attempt);
+        }
+    }
+    for (const auto& attempt : orphans) {
+        const bool runs_to_its_end =
+            attempt->phase == attempt_phase::running && attempt->reservation.never_repeat;
+        if (runs_to_its_end) {
+            attempt->detached = true;
+            record(*attempt, "run.detached", "the entry is gone and the request may not be repeated");
+            continue;
+        }
+        if (attempt->phase == attempt_phase::running) {
+            actions_.emplace_back(engine_cancel{attempt->id});
+        }
+        forget(attempt);
+    }
+}
+
+void upstream_core::handle(const entry_said& event)
+{
+    std::visit([&](const auto& message) { on_message(event.session, message); }, event.message);
+}
+
+void upstream_core::on_message(session_id session, const reserve_message& message)
+{
+    if (attempts_.contains(message.attempt) || ended_.contains(message.attempt)) {
+        return;
+    }
+    auto attempt = std::make_shared<upstream_attempt>();
+    attempt->id = ++last_id_;
+    attempt->session = session;
+    attempt->reservation = message;
+    attempt->arrived = now_;
+    attempt->deadline_at = now_ + message.time_left;
+    attempt->credit = settings_.initial_credit;
+    if (draining_) {
+        send(*attempt, refused_message{message.attempt, result_code::leaving, duration::zero()});
+        remember(message.attempt);
+        return;
+    }
+    if (queued() >= settings_.max_queue) {
+        send(*attempt, refused_message{message.attempt, result_code::overloaded, default_retry_after});
+        remember(message.attempt);
+        return;
+    }
+    attempts_.emplace(message.attempt, attempt);
+    queued_work work;
+    work.id = attempt->id;
+    work.tier = message.tier;
+    work.workspace = message.workspace;
+    work.weight = message.workspace_weight;
+    work.class_name = message.class_name;
+    work.arrived = now_;
+    work.target_at = now_ + message.target_left;
+    work.deadline_at = attempt->deadline_at;
+    work.starvation_bound = message.starvation_bound;
+    runs_.emplace(attempt->id, attempt);
+    std::visit([&](auto& order) { order.push(std::move(work)); }, settings_.order);
+}
+
+void upstream_core::on_message(session_id session, const dispatch_message& message)
+{
+    const auto attempt = find(message.attempt);
+    if (attempt == nullptr) {
+        // Whether it ran is known only while it is remembered; a grant that lapsed never ran.
+        const bool lapsed = ended_.contains(message.attempt);
+        const auto reply =
+            lapsed ? upstream_message(refused_message{message.attempt, result_code::overloaded, {}})
+                   : upstream_message(
+                         finished_message{message.attempt, result_code::upstream_lost, ran_state::unknown});
+        actions_.emplace_back(send_to_entry{session, reply});
+        return;
+    }
+    if (attempt->phase != attempt_phase::granted) {
+        return;
+    }
+    timers_.cancel(std::exchange(attempt->timer, 0));
+    attempt->dispatch = message;
+    if (is_keyed(*attempt)) {
+        claim(attempt);
+    } else {
+        start(attempt);
+    }
+}
+
+void upstream_core::on_message(session_id /*session*/, const cancel_message& message)
+{
+    const auto attempt = find(message.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    if (attempt->phase == attempt_phase::running) {
+        if (attempt->reservation.never_repeat) {
+            attempt->detached = true;
+            return;
+        }
+        actions_.emplace_back(engine_cancel{attempt->id});
+        record(*attempt, "run.cancelled", "nobody waits for the answer");
+    }
+    forget(attempt);
+}
+
+void upstream_core::on_message(session_id /*session*/, const credit_message& message)
+{
+    const auto attempt = find(message.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    attempt->credit += message.bytes;
+    if (attempt->on_hold && attempt->credit > 0) {
+        attempt->on_hold = false;
+        actions_.emplace_back(engine_read{attempt->id});
+    }
+}
+
+// --- Slots
+// ----------------------------------------------------------------------------------------------------
+
+std::size_t upstream_core::queued() const
+{
+    return std::visit([](const auto& order) { return order.size(); }, settings_.order);
+}
+
+void upstream_core::give_out_slots()
+{
+    while (busy_slots_ < settings_.slots) {
+        const auto work = std::visit([&](auto& order) { return order.pop(now_); }, settings_.order);
+        if (!work) {
+            return;
+        }
+        const auto found = runs_.find(work->id);
+        if (found == runs_.end()) {
+            continue;
+        }
+        const auto attempt = found->second;
+        if (now_ >= attempt->deadline_at) {
+            refuse(attempt, result_code::deadline_expired, duration::zero());
+            continue;
+        }
+        grant(attempt);
+    }
+}
+
+void upstream_core::grant(const attempt_ptr& attempt)
+{
+    attempt->phase = attempt_phase::granted;
+    ++busy_slots_;
+    send(*attempt, granted_message{attempt->reservation.attempt});
+    attempt->timer = timers_.schedule(now_ + settings_.grant_timeout, [this, attempt](time_point) {
+        attempt->timer = 0;
+        record(*attempt, "grant.lapsed", "no dispatch came");
+        refuse(attempt, result_code::overloaded, duration::zero());
+    });
+}
+
+bool upstream_core::holds_slot(const upstream_attempt& attempt) const
+{
+    return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::claiming ||
+           attempt.phase == attempt_phase::running;
+}
+
+void upstream_core::release_slot()
+{
+    --busy_slots_;
+}
+
+// --- Claims of never-repeat runs
+// ------------------------------------------------------------------------------
+
+bool upstream_core::is_keyed(const upstream_attempt& attempt) const
+{
+    return attempt.reservation.never_repeat && !attempt.reservation.key.empty();
+}
+
+run_record upstream_core::record_of(const upstream_attempt& attempt) const
+{
+    run_record result;
+    result.workspace = attempt.reservation.workspace;
+    result.key = attempt.reservation.key;
+    result.fingerprint = attempt.reservation.fingerprint;
+    result.attempt = attempt.reservation.attempt;
+    result.upstream = settings_.vm;
+    result.incarnation = settings_.incarnation;
+    return result;
+}
+
+void upstream_core::claim(const attempt_ptr& attempt)
+{
+    attempt->phase = attempt_phase::claiming;
+    actions_.emplace_back(claim_run{record_of(*attempt)});
+    record(*attempt, "run.claiming", "");
+}
+
+void upstream_core::handle(const claim_answered& event)
+{
+    const auto attempt = find(event.attempt);
+    if (attempt == nullptr || attempt->phase != attempt_phase::claiming) {
+        return;
+    }
+    switch (event.result) {
+    case store_result::done:
+        start(attempt);
+        return;
+    case store_result::exists:
+        watch(attempt, event.existing);
+        return;
+    case store_result::absent:
+    case store_result::unavailable:
+        refuse(attempt, result_code::store_unavailable, default_retry_after);
+        return;
+    case store_result::unknown:
+        actions_.emplace_back(
+            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
+        return;
+    }
+}
+
+void upstream_core::handle(const record_read& event)
+{
+    const auto attempt = find(event.attempt);
+    if (attempt == nullptr) {
+        return;
+    }
+    if (attempt->phase == attempt_phase::watching) {
+        watch(attempt, event.record);
+        return;
+    }
+    if (attempt->phase != attempt_phase::claiming) {
+        return;
+    }
+    if (event.result == store_result::absent) {
+        claim(attempt);
+    } else if (event.result != store_result::done) {
+        actions_.emplace_back(
+            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
+    } else if (event.record.attempt == event.attempt) {
+        start(attempt);
+    } else {
+        watch(attempt, event.record);
+    }
+}
+
+void upstream_core::watch(const attempt_ptr& attempt, const run_record& record_found)
+{
+    if (holds_slot(*attempt)) {
+        release_slot();
+    }
+    attempt->phase = attempt_phase::watching;
+    if (record_found.fingerprint != attempt->reservation.fingerprint) {
+        refuse(attempt, result_code::key_reused, duration::zero());
+        return;
+    }
+    if (record_found.phase == run_phase::finished) {
+        answer_from(attempt, record_found);
+        return;
+    }
+    if (now_ + settings_.watch_interval >= attempt->deadline_at) {
+        finish(attempt, result_code::outcome_unknown, ran_state::unknown);
+        return;
+    }
+    attempt->timer = timers_.schedule(now_ + settings_.watch_interval, [this, attempt](time_point) {
+        attempt->timer = 0;
+        actions_.emplace_back(
+            read_run{attempt->reservation.attempt, attempt->reservation.workspace, attempt->reservation.key});
+    });
+}
+
+void upstream_core::answer_from(const attempt_ptr& attempt, const run_record& record_found)
+{
+    record(*attempt, "run.answered_from_record", record_found.upstream);
+    if (record_found.code != result_code::ok || !record_found.answer) {
+        finish(attempt,
+               record_found.code == result_code::ok ? result_code::outcome_unknown : record_found.code,
+               ran_state::yes);
+        return;
+    }
+    const auto id = attempt->reservation.attempt;
+    send(*attempt, head_message{id, record_found.answer->status, record_found.answer->content_type});
+    send(*attempt, chunk_message{id, 0, record_found.answer->body, 0});
+    finish(attempt, result_code::ok, ran_state::yes);
+}
+
+void upstream_core::handle(const finish_answered& /*event*/)
+{
+    // The outcome is on record, or a resend will be told that it is unknown.
+}
+
+// --- Runs at the engine
+// ---------------------------------------------------------------------------------------
+
+void upstream_core::start(const attempt_ptr& attempt)
+{
+    attempt->phase = attempt_phase::running;
+    engine_start action;
+    action.run = attempt->id;
+    action.request_id = attempt->reservation.request_id;
+    action.method = attempt->dispatch.method;
+    action.path = attempt->dispatch.path;
+    action.content_type = attempt->dispatch.content_type;
+    action.body = attempt->dispatch.body;
+    action.priority = attempt->reservation.tier;
+    action.never_repeat = attempt->reservation.never_repeat;
+    action.resume_from_token = attempt->dispatch.resume_from_token;
+    actions_.emplace_back(std::move(action));
+    send(*attempt, started_message{attempt->reservation.attempt});
+    record(*attempt, "run.started", "");
+}
+
+void upstream_core::handle(const engine_head& event)
+{
+    const auto found = runs_.find(event.run);
+    if (found == runs_.end()) {
+        return;
+    }
+    auto& attempt = *found->second;
+    attempt.status = event.status;
+    attempt.content_type = event.content_type;
+    send(attempt, head_message{attempt.reservation.attempt, event.status, event.content_type});
+}
+
+void upstream_core::handle(const engine_bytes& event)
+{
+    const auto found = runs_.find(event.run);
+    if (found == runs_.end()) {
+        return;
+    }
+    relay(*found->second, event.bytes, event.tokens);
+}
+
+void upstream_core::relay(upstream_attempt& attempt, const std::string& bytes, std::uint32_t tokens)
+{
+    attempt.tokens += tokens;
+    keep(attempt, bytes);
+    if (attempt.detached) {
+        return;
+    }
+    send(attempt, chunk_message{attempt.reservation.attempt, attempt.sent, bytes, attempt.tokens});
+    attempt.sent += bytes.size();
+    attempt.credit -= static_cast<std::int64_t>(bytes.size());
+    if (attempt.credit <= 0 && !attempt.on_hold) {
+        attempt.on_hold = true;
+        actions_.emplace_back(engine_hold{attempt.id});
+    }
+}
+
+void upstream_core::keep(upstream_attempt& attempt, const std::string& bytes)
+{
+    if (!is_keyed(attempt) || attempt.kept_answer.size() > settings_.max_kept_answer) {
+        return;
+    }
+    attempt.kept_answer += bytes;
+}
+
+void upstream_core::handle(const engine_ended& event)
+{
+    const auto found = runs_.find(event.run);
+    if (found == runs_.end() || found->second->phase != attempt_phase::running) {
+        return;
+    }
+    const auto attempt = found->second;
+    switch (event.kind) {
+    case engine_end_kind::complete:
+        store_outcome(*attempt, result_code::ok);
+        finish(attempt, result_code::ok, ran_state::yes);
+        return;
+    case engine_end_kind::not_reached:
+        store_outcome(*attempt, result_code::upstream_failed);
+        finish(attempt, result_code::upstream_failed, ran_state::no);
+        return;
+    case engine_end_kind::broken:
+        finish(attempt, attempt->sent == 0 ? result_code::upstream_failed : result_code::answer_truncated,
+               attempt->sent == 0 ? ran_state::unknown : ran_state::yes);
+        return;
+    }
+}
+
+void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code)
+{
+    if (!is_keyed(attempt)) {
+        return;
+    }
+    auto row = record_of(attempt);
+    row.phase = run_phase::finished;
+    row.code = code;
+    if (attempt.kept_answer.size() <= settings_.max_kept_answer) {
+        row.answer = stored_answer{attempt.status, attempt.content_type, attempt.kept_answer};
+    }
+    actions_.emplace_back(finish_run{std::move(row)});
+}
+
+// --- Ends
+// -----------------------------------------------------------------------------------------------------
+
+void upstream_core::refuse(const attempt_ptr& attempt, result_code code, duration retry_after)
+{
+    send(*attempt, refused_message{attempt->reservation.attempt, code, retry_after});
+    record(*attempt, "attempt.refused", std::string(describe(code).name));
+    forget(attempt);
+}
+
+void upstream_core::finish(const attempt_ptr& attempt, result_code code, ran_state ran)
+{
+    if (!attempt->detached) {
+        send(*attempt, finished_message{attempt->reservation.attempt, code, ran});
+    }
+    record(*attempt, "attempt.ended",
+           std::string(describe(code).name) + ", ran " + std::string(to_string(ran)));
+    forget(attempt);
+}
+
+void upstream_core::forget(const attempt_ptr& attempt)
+{
+    timers_.cancel(std::exchange(attempt->timer, 0));
+    if (holds_slot(*attempt)) {
+        release_slot();
+    }
+    if (attempt->phase == attempt_phase::queued) {
+        std::visit([&](auto& order) { order.erase(attempt->id); }, settings_.order);
+    }
+    runs_.erase(attempt->id);
+    attempts_.erase(attempt->reservation.attempt);
+    remember(attempt->reservation.attempt);
+    if (draining_ && attempts_.empty()) {
+        actions_.emplace_back(drained{});
+    }
+}
+
+void upstream_core::remember(attempt_id attempt)
+{
+    if (!ended_.insert(attempt).second) {
+        return;
+    }
+    ended_order_.push_back(attempt);
+    if (ended_order_.size() > settings_.max_remembered) {
+        ended_.erase(ended_order_.front());
+        ended_order_.pop_front();
+    }
+}
+
+void upstream_core::handle(const drain_started& /*event*/)
+{
+    if (draining_) {
+        return;
+    }
+    draining_ = true;
+    std::vector<attempt_ptr> waiting;
+    for (const auto& [id, attempt] : attempts_) {
+        if (attempt->phase == attempt_phase::queued) {
+            waiting.push_back(attempt);
+        }
+    }
+    publish_load();
+    for (const auto& attempt : waiting) {
+        refuse(attempt, result_code::leaving, duration::zero());
+    }
+    if (waiting.empty() && attempts_.empty()) {
+        actions_.emplace_back(drained{});
+    }
+}
+
+// --- The rest
+// -------------------------------------------------------------------------------------------------
+
+void upstream_core::handle(const configuration_applied& event)
+{
+    if (configuration_ == nullptr || event.value->version > configuration_->version) {
+        configuration_ = event.value;
+        actions_.emplace_back(emit_record{
+            {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
+    }
+}
+
+void upstream_core::handle(const tick& /*event*/)
+{
+    // Due timers run before every event.
+}
+
+load_message upstream_core::current_load() const
+{
+    load_message load;
+    load.free_slots = busy_slots_ < settings_.slots ? settings_.slots - busy_slots_ : 0;
+    load.queued = static_cast<std::uint32_t>(queued());
+    load.leaving = draining_;
+    return load;
+}
+
+void upstream_core::publish_load()
+{
+    const auto load = current_load();
+    // Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken.
+    const bool matters = load.leaving != published_.leaving ||
+                         (load.free_slots == 0) != (published_.free_slots == 0) ||
+                         (load.queued == 0) != (published_.queued == 0);
+    if (!matters) {
+        return;
+    }
+    published_ = load;
+    for (const auto session : sessions_) {
+        actions_.emplace_back(send_to_entry{session, load});
+    }
+}
+
+void upstream_core::send(const upstream_attempt& attempt, upstream_message message)
+{
+    actions_.emplace_back(send_to_entry{attempt.session, std::move(message)});
+}
+
+void upstream_core::record(const upstream_attempt& attempt, std::string kind, std::string detail)
+{
+    actions_.emplace_back(
+        emit_record{{std::move(kind), attempt.reservation.request_id, attempt.reservation.class_name,
+                     attempt.reservation.workspace, settings_.vm, std::move(detail)}});
+}
+
+upstream_core::attempt_ptr upstream_core::find(attempt_id attempt) const
+{
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? nullptr : found->second;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/upstream_core.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "policy/work_order.h"
+#include "request/upstream_attempt.h"
+#include "request/upstream_events.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinegap {
+
+/// Bounds and identity of an upstream daemon's core.
+struct upstream_settings {
+    std::string vm;
+    std::string zone;
+    std::string region;
+    std::uint64_t incarnation{1};
+    std::vector<std::string> models;
+    std::uint32_t slots{8};
+    std::size_t max_queue{1024};
+    std::size_t max_remembered{65536};  ///< Ended attempts that are still recognised.
+    std::size_t max_kept_answer{65536}; ///< Bytes of an answer that are kept for resends.
+    duration grant_timeout{milliseconds(500)};
+    duration watch_interval{milliseconds(100)};
+    std::int64_t initial_credit{256 * 1024};
+    work_order order{tiered_order{}};
+};
+
+/// The decisions of an upstream daemon: the queue and slots of one upstream, the claim before a never-repeat
+/// run, the relay of the answer. Pure: no I/O, threads or clock.
+class upstream_core {
+public:
+    explicit upstream_core(upstream_settings settings);
+
+    /// Takes one event and returns what is to be done; the span is valid until the next call.
+    std::span<const upstream_action> on_event(const upstream_event& event, time_point now);
+
+    time_point next_due() const { return timers_.next_due(); }
+    std::size_t queued() const;
+    std::uint32_t busy_slots() const { return busy_slots_; }
+    bool ready() const { return !draining_; }
+
+private:
+    using attempt_ptr = std::shared_ptr<upstream_attempt>;
+
+    void handle(const entry_connected& event);
+    void handle(const entry_disconnected& event);
+    void handle(const entry_said& event);
+    void handle(const engine_head& event);
+    void handle(const engine_bytes& event);
+    void handle(const engine_ended& event);
+    void handle(const claim_answered& event);
+    void handle(const record_read& event);
+    void handle(const finish_answered& event);
+    void handle(const configuration_applied& event);
+    void handle(const drain_started& event);
+    void handle(const tick& event);
+
+    void on_message(session_id session, const reserve_message& message);
+    void on_message(session_id session, const dispatch_message& message);
+    void on_message(session_id session, const cancel_message& message);
+    void on_message(session_id session, const credit_message& message);
+
+    void give_out_slots();
+    void grant(const attempt_ptr& attempt);
+    void claim(const attempt_ptr& attempt);
+    void start(const attempt_ptr& attempt);
+    void watch(const attempt_ptr& attempt, const run_record& record);
+    void answer_from(const attempt_ptr& attempt, const run_record& record);
+    void relay(upstream_attempt& attempt, const std::string& bytes, std::uint32_t tokens);
+    void keep(upstream_attempt& attempt, const std::string& bytes);
+
+    void refuse(const attempt_ptr& attempt, result_code code, duration retry_after);
+    void finish(const attempt_ptr& attempt, result_code code, ran_state ran);
+    void store_outcome(const upstream_attempt& attempt, result_code code);
+    void forget(const attempt_ptr& attempt);
+    void release_slot();
+    bool holds_slot(const upstream_attempt& attempt) const;
+    bool is_keyed(const upstream_attempt& attempt) const;
+    run_record record_of(const upstream_attempt& attempt) const;
+
+    void send(const upstream_attempt& attempt, upstream_message message);
+    void publish_load();
+    load_message current_load() const;
+    void record(const upstream_attempt& attempt, std::string kind, std::string detail);
+    attempt_ptr find(attempt_id attempt) const;
+    void remember(attempt_id attempt);
+
+    upstream_settings settings_;
+    timer_service timers_;
+    time_point now_{};
+    configuration_ptr configuration_;
+    std::set<session_id> sessions_;
+    std::map<attempt_id, attempt_ptr> attempts_;
+    std::unordered_map<run_id, attempt_ptr> runs_;
+    std::set<attempt_id> ended_;
+    std::deque<attempt_id> ended_order_;
+    std::uint32_t busy_slots_{0};
+    std::uint64_t last_id_{0};
+    load_message published_;
+    bool draining_{false};
+    std::vector<upstream_action> actions_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/upstream_events.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "core/event_record.h"
+#include "request/entry_events.h"
+#include "request/messages.h"
+#include "request/run_record.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+/// \file
+/// What an upstream daemon's decision core is told and what it asks for.
+
+namespace clementinegap {
+
+/// Names a connected entry daemon within the upstream daemon.
+using session_id = std::uint64_t;
+
+/// Names one run at the engine within the upstream daemon.
+using run_id = std::uint64_t;
+
+struct entry_connected {
+    session_id session{0};
+};
+
+struct entry_disconnected {
+    session_id session{0};
+};
+
+struct entry_said {
+    session_id session{0};
+    entry_message message;
+};
+
+struct engine_head {
+    run_id run{0};
+    std::uint16_t status{200};
+    std::string content_type;
+};
+
+struct engine_bytes {
+    run_id run{0};
+    std::string bytes;
+    std::uint32_t tokens{0}; ///< Tokens in these bytes.
+};
+
+enum class engine_end_kind : std::uint8_t {
+    complete,    ///< The answer is whole.
+    not_reached, ///< The connection was refused: not a byte reached the engine.
+    broken       ///< The connection broke, or the answer is not whole.
+};
+
+struct engine_ended {
+    run_id run{0};
+    engine_end_kind kind{engine_end_kind::complete};
+};
+
+/// The answer to `claim_run`.
+struct claim_answered {
+    attempt_id attempt;
+    store_result result{store_result::done};
+    run_record existing; ///< The row that was there, with `exists`.
+};
+
+/// The answer to `read_run`.
+struct record_read {
+    attempt_id attempt;
+    store_result result{store_result::done};
+    run_record record;
+};
+
+/// The answer to `finish_run`.
+struct finish_answered {
+    attempt_id attempt;
+    store_result result{store_result::done};
+};
+
+using upstream_event =
+    std::variant<entry_connected, entry_disconnected, entry_said, engine_head, engine_bytes, engine_ended,
+                 claim_answered, record_read, finish_answered, configuration_applied, drain_started, tick>;
+
+struct send_to_entry {
+    session_id session{0};
+    upstream_message message;
+};
+
+struct engine_start {
+    run_id run{0};
+    std::string request_id;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::uint8_t priority{0};
+    bool never_repeat{false};
+    std::uint32_t resume_from_token{0};
+};
+
+struct engine_cancel {
+    run_id run{0};
+};
+
+/// Stops reading the engine's answer until `engine_read`.
+struct engine_hold {
+    run_id run{0};
+};
+
+struct engine_read {
+    run_id run{0};
+};
+
+/// Inserts the record if its key is absent.
+struct claim_run {
+    run_record record;
+};
+
+struct read_run {
+    attempt_id attempt; ///< Names the asker, for the answer.
+    std::string workspace;
+    std::string key;
+};
+
+/// Replaces the record of an own attempt by its finished form.
+struct finish_run {
+    run_record record;
+};
+
+using upstream_action = std::variant<send_to_entry, engine_start, engine_cancel, engine_hold, engine_read,
+                                     claim_run, read_run, finish_run, emit_record, drained>;
+
+} // namespace clementinegap
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE clementinegap
+#include <boost/test/unit_test.hpp>
