--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 BUILD ?= build
 TYPE ?= RelWithDebInfo
 JOBS ?= $(shell nproc)
+# Lets worktrees share one compiler cache.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 
 .PHONY: all deps configure demo test format lint clean
 all: configure
--- a/adapters/engine_gateway.cpp
+++ b/adapters/engine_gateway.cpp
@@ -74,31 +74,54 @@
         tell(engine_ended{id, kind_of(end, *state)});
     };
     const std::lock_guard lock(mutex_);
-    calls_[id] = client_.start(call_of(run), std::move(events));
+    calls_[id] = {client_.start(call_of(run), std::move(events)), run.request_id};
 }
 
-http_call_id engine_gateway::call_id(run_id run)
+engine_gateway::run_entry engine_gateway::entry_of(run_id run)
 {
     const std::lock_guard lock(mutex_);
     const auto found = calls_.find(run);
-    return found == calls_.end() ? 0 : found->second;
+    return found == calls_.end() ? run_entry{} : found->second;
+}
+
+void engine_gateway::steer(run_id run, const std::string& verb)
+{
+    const auto entry = entry_of(run);
+    if (entry.call == 0) {
+        return;
+    }
+    http_call call;
+    call.method = "POST";
+    call.url = base_url_ + "/v1/requests/" + entry.engine_request + "/" + verb;
+    call.timeout = seconds(2);
+    client_.start(std::move(call), {});
+}
+
+void engine_gateway::pause(run_id run)
+{
+    steer(run, "pause");
+}
+
+void engine_gateway::resume(run_id run)
+{
+    steer(run, "resume");
 }
 
 void engine_gateway::cancel(run_id run)
 {
-    client_.cancel(call_id(run));
+    client_.cancel(entry_of(run).call);
     const std::lock_guard lock(mutex_);
     calls_.erase(run);
 }
 
 void engine_gateway::hold(run_id run)
 {
-    client_.hold(call_id(run));
+    client_.hold(entry_of(run).call);
 }
 
 void engine_gateway::read(run_id run)
 {
-    client_.read(call_id(run));
+    client_.read(entry_of(run).call);
 }
 
 void engine_gateway::tell(upstream_event event)
--- a/adapters/engine_gateway.h
+++ b/adapters/engine_gateway.h
@@ -21,16 +21,24 @@
     void cancel(run_id run) override;
     void hold(run_id run) override;
     void read(run_id run) override;
+    void pause(run_id run) override;
+    void resume(run_id run) override;
 
 private:
     http_call call_of(const engine_start& run) const;
-    http_call_id call_id(run_id run);
+    /// What is known of a run under way.
+    struct run_entry {
+        http_call_id call{0};
+        std::string engine_request;
+    };
+    run_entry entry_of(run_id run);
+    void steer(run_id run, const std::string& verb);
     void tell(upstream_event event);
 
     std::string base_url_;
     upstream_event_sink sink_;
     std::mutex mutex_;
-    std::unordered_map<run_id, http_call_id> calls_;
+    std::unordered_map<run_id, run_entry> calls_;
     http_client client_;
 };
 
--- a/adapters/http_client.cpp
+++ b/adapters/http_client.cpp
@@ -75,6 +75,12 @@
     return size * count;
 }
 
+CURLM* open_multi()
+{
+    static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
+    return global == CURLE_OK ? curl_multi_init() : nullptr;
+}
+
 http_end_kind kind_of(CURLcode code)
 {
     switch (code) {
@@ -95,11 +101,8 @@
 class http_client::implementation {
 public:
     implementation(std::size_t max_commands, http_client_tls tls)
-        : commands_(max_commands), tls_(std::move(tls))
+        : commands_(max_commands), tls_(std::move(tls)), multi_(open_multi())
     {
-        static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
-        (void)global;
-        multi_ = curl_multi_init();
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_kept_connections);
         thread_ = std::thread([this] { run(); });
     }
@@ -256,7 +259,7 @@
 
     bounded_ring<command> commands_;
     http_client_tls tls_;
-    CURLM* multi_{nullptr};
+    CURLM* multi_;
     std::atomic<http_call_id> last_id_{0};
     std::atomic<bool> stopping_{false};
     std::unordered_map<http_call_id, std::unique_ptr<transfer>> transfers_;
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -17,7 +17,7 @@
 namespace clementinegap {
 namespace {
 
-constexpr std::size_t stream_block_bytes = 16 * 1024;
+constexpr std::size_t stream_block_bytes = 16384;
 constexpr std::size_t discard_factor = 8;
 constexpr auto watch_interval = std::chrono::milliseconds(100);
 
--- a/adapters/peer_client.h
+++ b/adapters/peer_client.h
@@ -12,6 +12,8 @@
 class peer_client : public upstream_link {
 public:
     peer_client(entry_event_sink sink, peer_credentials credentials);
+    peer_client(const peer_client&) = delete;
+    peer_client& operator=(const peer_client&) = delete;
     ~peer_client() override;
 
     void connect_to(const std::vector<std::pair<std::string, std::string>>& upstreams) override;
--- a/adapters/peer_server.h
+++ b/adapters/peer_server.h
@@ -13,6 +13,8 @@
 class peer_server : public entry_link {
 public:
     peer_server(upstream_event_sink sink, peer_credentials credentials);
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
     ~peer_server() override;
 
     /// Listens on "IP:port"; port 0 takes a free one.
--- /dev/null
+++ b/core/soft_state.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace clementinegap {
+
+/// One item of soft state that daemons spread among themselves. Of two items with the same origin, kind and
+/// key the one with the greater (incarnation, sequence) is newer. Safety never depends on an item's arrival.
+struct soft_item {
+    std::string origin; ///< The VM that states it.
+    std::uint64_t incarnation{0};
+    std::uint64_t sequence{0};
+    std::string kind; ///< Such as "poison", "demand", "pace".
+    std::string key;
+    std::string value;    ///< JSON.
+    duration lifetime{0}; ///< From its publication; items past it are dropped.
+    bool operator==(const soft_item&) const = default;
+};
+
+} // namespace clementinegap
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -70,6 +70,11 @@
     events_.add(action.record, now);
 }
 
+void daemon_base::publish(const soft_item& /*item*/)
+{
+    // Daemons do not exchange soft state yet.
+}
+
 outcome<peer_credentials> daemon_base::load_peer_credentials() const
 {
     peer_credentials result;
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -42,6 +42,8 @@
 
     void apply(const emit_record& action, time_point now);
     void drain_finished();
+    /// Spreads soft state among the daemons.
+    void publish(const soft_item& item);
     outcome<peer_credentials> load_peer_credentials() const;
 
     const settings settings_;
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -97,6 +97,7 @@
     std::visit(overloaded{[&](const send_to_upstream& value) { peers_->send(value.vm, value.message); },
                           [&](const emit_record& value) { apply(value, now); },
                           [&](const request_measured& value) { measure(value); },
+                          [&](const publish_item& value) { publish(value.item); },
                           [&](const drained&) { drain_finished(); },
                           [&](const auto& answer) { callers_.apply(answer); }},
                action);
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -14,6 +14,8 @@
 class entry_daemon : public daemon_base {
 public:
     explicit entry_daemon(settings values);
+    entry_daemon(const entry_daemon&) = delete;
+    entry_daemon& operator=(const entry_daemon&) = delete;
     ~entry_daemon() override;
 
 protected:
--- a/main/upstream_daemon.h
+++ b/main/upstream_daemon.h
@@ -15,6 +15,8 @@
 class upstream_daemon : public daemon_base {
 public:
     explicit upstream_daemon(settings values);
+    upstream_daemon(const upstream_daemon&) = delete;
+    upstream_daemon& operator=(const upstream_daemon&) = delete;
     ~upstream_daemon() override;
 
 protected:
--- a/ports/engine_port.h
+++ b/ports/engine_port.h
@@ -16,6 +16,9 @@
     virtual void cancel(run_id run) = 0;
     virtual void hold(run_id run) = 0;
     virtual void read(run_id run) = 0;
+    /// Sets a run aside at the engine, freeing its slot there, and goes on with it.
+    virtual void pause(run_id run) = 0;
+    virtual void resume(run_id run) = 0;
 };
 
 } // namespace clementinegap
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -242,7 +242,9 @@
     }
     found->second.connected = false;
     std::vector<std::pair<attempt_id, request_ptr>> affected;
-    for (const auto& [attempt, request] : attempts_) {
+    for (const auto& item : attempts_) {
+        const attempt_id attempt = item.first;
+        const request_ptr& request = item.second;
         const bool runs_there =
             request->running && request->running->attempt == attempt && request->running->vm == event.vm;
         const bool waits_there = std::ranges::any_of(request->reservations, [&](const reservation& open) {
@@ -562,6 +564,11 @@
     }
 }
 
+void entry_core::handle(const soft_item_seen& /*event*/)
+{
+    // No policy of this core uses soft state yet.
+}
+
 void entry_core::handle(const tick& /*event*/)
 {
     // Due timers run before every event.
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -59,6 +59,7 @@
     void handle(const upstream_said& event);
     void handle(const configuration_applied& event);
     void handle(const drain_started& event);
+    void handle(const soft_item_seen& event);
     void handle(const tick& event);
 
     void on_message(const std::string& vm, const hello_message& message);
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -3,6 +3,7 @@
 #include "config/configuration.h"
 #include "core/event_record.h"
 #include "core/result_code.h"
+#include "core/soft_state.h"
 #include "core/time.h"
 #include "request/messages.h"
 
@@ -71,12 +72,17 @@
 /// A planned stop begins: nothing new is admitted, what is admitted is finished.
 struct drain_started {};
 
+/// An item that another daemon published arrived.
+struct soft_item_seen {
+    soft_item item;
+};
+
 /// Time passed; due timers run.
 struct tick {};
 
 using entry_event =
     std::variant<caller_request, caller_gone, caller_drained, upstream_connected, upstream_disconnected,
-                 upstream_said, configuration_applied, drain_started, tick>;
+                 upstream_said, configuration_applied, drain_started, soft_item_seen, tick>;
 
 struct send_to_upstream {
     std::string vm;
@@ -127,10 +133,15 @@
     bool target_met{false};
 };
 
+/// Spreads an item among the daemons; the daemon fills in origin, incarnation and sequence.
+struct publish_item {
+    soft_item item;
+};
+
 /// The core holds no request any more after a drain; the daemon may exit.
 struct drained {};
 
 using entry_action = std::variant<send_to_upstream, answer_head, answer_bytes, answer_end, answer_whole,
-                                  answer_abort, emit_record, request_measured, drained>;
+                                  answer_abort, emit_record, request_measured, publish_item, drained>;
 
 } // namespace clementinegap
--- a/request/messages.h
+++ b/request/messages.h
@@ -19,7 +19,7 @@
 struct attempt_id {
     std::uint64_t entry{0};
     std::uint64_t number{0};
-    auto operator<=>(const attempt_id&) const = default;
+    std::strong_ordering operator<=>(const attempt_id&) const = default;
 };
 
 /// Asks for a slot; the body follows only after a grant.
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -342,7 +342,9 @@
     attempt->phase = attempt_phase::running;
     engine_start action;
     action.run = attempt->id;
-    action.request_id = attempt->reservation.request_id;
+    // Two attempts of a request may meet at one engine, so the attempt is part of the name.
+    action.request_id =
+        attempt->reservation.request_id + "-" + std::to_string(attempt->reservation.attempt.number);
     action.method = attempt->dispatch.method;
     action.path = attempt->dispatch.path;
     action.content_type = attempt->dispatch.content_type;
@@ -519,6 +521,11 @@
     }
 }
 
+void upstream_core::handle(const soft_item_seen& /*event*/)
+{
+    // No policy of this core uses soft state yet.
+}
+
 void upstream_core::handle(const tick& /*event*/)
 {
     // Due timers run before every event.
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -30,7 +30,7 @@
     std::size_t max_kept_answer{65536}; ///< Bytes of an answer that are kept for resends.
     duration grant_timeout{milliseconds(500)};
     duration watch_interval{milliseconds(100)};
-    std::int64_t initial_credit{256 * 1024};
+    std::int64_t initial_credit{262144};
     work_order order{tiered_order{}};
 };
 
@@ -62,6 +62,7 @@
     void handle(const finish_answered& event);
     void handle(const configuration_applied& event);
     void handle(const drain_started& event);
+    void handle(const soft_item_seen& event);
     void handle(const tick& event);
 
     void on_message(session_id session, const reserve_message& message);
--- a/request/upstream_events.h
+++ b/request/upstream_events.h
@@ -77,9 +77,9 @@
     store_result result{store_result::done};
 };
 
-using upstream_event =
-    std::variant<entry_connected, entry_disconnected, entry_said, engine_head, engine_bytes, engine_ended,
-                 claim_answered, record_read, finish_answered, configuration_applied, drain_started, tick>;
+using upstream_event = std::variant<entry_connected, entry_disconnected, entry_said, engine_head,
+                                    engine_bytes, engine_ended, claim_answered, record_read, finish_answered,
+                                    configuration_applied, drain_started, soft_item_seen, tick>;
 
 struct send_to_entry {
     session_id session{0};
@@ -111,6 +111,15 @@
     run_id run{0};
 };
 
+/// Asks the engine to set the run aside and to free its slot until `engine_resume`.
+struct engine_pause {
+    run_id run{0};
+};
+
+struct engine_resume {
+    run_id run{0};
+};
+
 /// Inserts the record if its key is absent.
 struct claim_run {
     run_record record;
@@ -127,7 +136,8 @@
     run_record record;
 };
 
-using upstream_action = std::variant<send_to_entry, engine_start, engine_cancel, engine_hold, engine_read,
-                                     claim_run, read_run, finish_run, emit_record, drained>;
+using upstream_action =
+    std::variant<send_to_entry, engine_start, engine_cancel, engine_hold, engine_read, engine_pause,
+                 engine_resume, claim_run, read_run, finish_run, emit_record, publish_item, drained>;
 
 } // namespace clementinegap
