--- a/tests/request/test_deployment.cpp
+++ b/tests/request/test_deployment.cpp
@@ -1,5 +1,6 @@
 #include "fakes/fake_deployment.h"
 
+#include "config/configuration_builder.h"
 #include "core/digest.h"
 
 #include <boost/test/unit_test.hpp>
@@ -8,26 +9,17 @@
 
 namespace {
 
-request_class make_class(std::string name, int tier, repeat_rule repeat)
-{
-    request_class result;
-    result.name = std::move(name);
-    result.tier = tier;
-    result.repeat = repeat;
-    result.model = "assistant";
-    return result;
-}
-
 /// One entry, two upstreams, a guide class and a keyed booking class.
 struct small_deployment {
     small_deployment()
     {
-        configuration value;
-        value.version = 1;
-        value.classes = {make_class("guide", 0, repeat_rule::repeatable),
-                         make_class("booking", 1, repeat_rule::never)};
-        value.workspaces = {{"shop", sha256_hex("key"), 1, {}}};
-        deployment.configure(value);
+        deployment.configure(configuration_builder()
+                                 .version(1)
+                                 .add(class_builder("guide", "assistant").tier(0))
+                                 .add(class_builder("booking", "assistant").tier(1).never_repeat(true))
+                                 .add_workspace("shop", sha256_hex("key"))
+                                 .build()
+                                 .value());
         entry_settings entry;
         entry.vm = "entry-1";
         deployment.add_entry(entry);
