Daemons share soft state, membership and the configuration over an overlay

Cause: every daemon read the whole configuration and the VM list from the platform several times a second, so reads grew with the fleet, a store outage stopped the spread of an accepted configuration, and soft items of the cores went nowhere. Change: cluster_core (pure) with overlay_store (newer wins, bounded, digests by bucket), membership (incarnations, suspicion with refutation, leaving marks, lagging list last), member_ring (neighbours at power-of-two distances, tree spread), configuration_spread (fetched from a neighbour, hash checked, only upward) and polling at a rate for the whole fleet. overlay_link carries it over gRPC beside the peer protocol; entries listen too when peers.address is set. daemon_base::publish and soft_item_seen now work. Entries keep connections to a subset of upstreams by rendezvous hashing and give no new work to a VM known to leave. Conclusion: the store is needed for acceptance, no longer for the spread.

--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -39,6 +39,9 @@
         grpc::ServerBuilder builder;
         builder.AddListeningPort(address, credentials_.for_server(), &port_);
         builder.RegisterService(this);
+        if (other_ != nullptr) {
+            builder.RegisterService(other_);
+        }
         builder.SetMaxReceiveMessageSize(max_frame_bytes);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_time_ms);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
@@ -53,6 +56,8 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+    void also_serve(grpc::Service& service) { other_ = &service; }
+
     void stop()
     {
         if (server_ == nullptr) {
@@ -195,6 +200,7 @@
 
     upstream_event_sink sink_;
     peer_credentials credentials_;
+    grpc::Service* other_{nullptr};
     std::unique_ptr<grpc::Server> server_;
     int port_{0};
     std::mutex mutex_;
@@ -212,6 +218,11 @@
     stop();
 }
 
+void peer_server::also_serve(grpc::Service& service)
+{
+    implementation_->also_serve(service);
+}
+
 outcome<void> peer_server::start(const std::string& address)
 {
     return implementation_->start(address);
--- a/adapters/peer_server.h
+++ b/adapters/peer_server.h
@@ -7,6 +7,10 @@
 #include <memory>
 #include <string>
 
+namespace grpc {
+class Service;
+} // namespace grpc
+
 namespace clementinegap {
 
 /// The upstream daemon's end of the peer protocol, over gRPC.
@@ -17,6 +21,8 @@
     peer_server& operator=(const peer_server&) = delete;
     ~peer_server() override;
 
+    /// Serves another protocol on the same port; before `start`.
+    void also_serve(grpc::Service& service);
     /// Listens on "IP:port"; port 0 takes a free one.
     outcome<void> start(const std::string& address);
     int port() const;
--- /dev/null
+++ b/config/head_row.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace clementinegap {
+
+/// The small row beside the configuration, which daemons poll instead of the whole text.
+struct head_row {
+    std::uint64_t version{0};
+    std::string hash; ///< SHA-256 of the canonical text.
+};
+
+std::string to_row(const head_row& head);
+
+/// Nothing for a row of another form.
+std::optional<head_row> head_from_row(std::string_view value);
+
+} // namespace clementinegap
--- a/main/command_config.cpp
+++ b/main/command_config.cpp
@@ -1,6 +1,7 @@
 #include "main/command_config.h"
 
 #include "adapters/platform_client.h"
+#include "config/head_row.h"
 #include "config/questionnaire.h"
 #include "main/settings.h"
 
@@ -29,11 +30,10 @@
     return generate_configuration(teams);
 }
 
-table_row read_current(platform_client& platform)
+table_row read_row(platform_client& platform, const std::string& key)
 {
     std::promise<read_result> promise;
-    platform.read("configuration", "current",
-                  [&](read_result result) { promise.set_value(std::move(result)); });
+    platform.read("configuration", key, [&](read_result result) { promise.set_value(std::move(result)); });
     const auto result = promise.get_future().get();
     return result.result == store_result::done ? result.row : table_row{};
 }
@@ -45,7 +45,7 @@
         return fail_usage(generated.error().message);
     }
     platform_client platform(platform_url, platform_timeout);
-    const auto current = read_current(platform);
+    const auto current = read_row(platform, "current");
     auto value = std::move(generated).value();
     value.version = 1;
     if (current.revision != 0) {
@@ -54,7 +54,12 @@
     }
     const auto kind = current.revision == 0 ? table_operation::kind::insert : table_operation::kind::replace;
     std::promise<transaction_result> promise;
-    platform.transact({{kind, "configuration", "current", to_json(value).dump(), current.revision}},
+    const auto head = read_row(platform, "head");
+    const auto head_kind =
+        head.revision == 0 ? table_operation::kind::insert : table_operation::kind::replace;
+    platform.transact({{kind, "configuration", "current", to_json(value).dump(), current.revision},
+                       {head_kind, "configuration", "head",
+                        to_row({value.version, configuration_hash(value)}), head.revision}},
                       [&](transaction_result result) { promise.set_value(std::move(result)); });
     switch (promise.get_future().get().result) {
     case store_result::done:
@@ -96,7 +101,7 @@
     }
     if (words[0] == "show") {
         platform_client platform(words[1], platform_timeout);
-        std::printf("%s\n", read_current(platform).value.c_str());
+        std::printf("%s\n", read_row(platform, "current").value.c_str());
         return exit_code::ok;
     }
     return fail_usage(usage);
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -1,7 +1,11 @@
 #include "main/daemon_base.h"
 
+#include "config/head_row.h"
+#include "core/digest.h"
 #include "observability/logger.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace clementinegap {
@@ -12,6 +16,30 @@
 constexpr std::uint16_t http_unavailable = 503;
 constexpr int exit_ok = 0;
 constexpr int exit_cannot_start = 3;
+constexpr std::size_t cluster_ring_capacity = 16384;
+
+cluster_settings cluster_settings_of(const settings& values)
+{
+    cluster_settings result;
+    const bool is_entry = values.role == daemon_role::entry;
+    result.self = {values.vm,
+                   is_entry ? "entry" : "upstream",
+                   values.zone,
+                   values.region,
+                   values.peer_address,
+                   values.models,
+                   false};
+    result.incarnation = static_cast<std::uint64_t>(process_now().time_since_epoch().count());
+    result.seed = hash64(values.vm, result.incarnation);
+    result.seeds = values.peer_seeds;
+    result.least_poll = values.platform_poll;
+    return result;
+}
+
+listed_member listed_from(const listed_vm& vm)
+{
+    return {{vm.name, vm.role, vm.zone, vm.region, vm.address, {}, vm.leaving}};
+}
 
 } // namespace
 
@@ -24,20 +52,23 @@
                   return;
               }
               log_info("drain.started", "stop requested");
+              cluster_.post(leave_requested{});
               begin_drain();
           },
-          [] { log_info("reload.requested", "keys are read again at the next connection"); })
+          [] { log_info("reload.requested", "keys are read again at the next connection"); }),
+      cluster_(cluster_core(cluster_settings_of(settings_)), cluster_ring_capacity,
+               [this](const cluster_action& action, time_point now) { perform(action, now); })
 {
 }
 
-daemon_base::~daemon_base()
-{
-    stop_polling();
-}
+daemon_base::~daemon_base() = default;
 
 int daemon_base::run()
 {
     auto started = start_admin();
+    if (started) {
+        started = start_overlay();
+    }
     if (started) {
         started = start();
     }
@@ -45,11 +76,12 @@
         log_error("start.failed", started.error().message);
         return exit_cannot_start;
     }
-    polling_ = true;
-    poll_thread_ = std::thread([this] { poll_platform(); });
+    cluster_.on_idle([this](const cluster_core& core) { report(core); });
+    cluster_.start();
     log_info("started", "admin on port " + std::to_string(admin_.port()));
     const int code = runtime_.run();
-    stop_polling();
+    cluster_.stop();
+    overlay_->stop();
     stop();
     // No callback may come once the role's own parts are destroyed.
     platform_.reset();
@@ -70,9 +102,9 @@
     events_.add(action.record, now);
 }
 
-void daemon_base::publish(const soft_item& /*item*/)
+void daemon_base::publish(const soft_item& item)
 {
-    // Daemons do not exchange soft state yet.
+    cluster_.post(item_published{item});
 }
 
 outcome<peer_credentials> daemon_base::load_peer_credentials() const
@@ -88,6 +120,15 @@
     return result;
 }
 
+outcome<void> daemon_base::start_overlay()
+{
+    BOOST_OUTCOME_TRY(credentials, load_peer_credentials());
+    overlay_ = std::make_unique<overlay_link>(
+        [this](cluster_event event) { return cluster_.post(std::move(event)); }, settings_.vm,
+        settings_.peer_address, std::move(credentials));
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 outcome<void> daemon_base::start_admin()
 {
     http_server_options options;
@@ -118,49 +159,68 @@
     }
 }
 
-void daemon_base::poll_platform()
+void daemon_base::perform(const cluster_action& action, time_point now)
+{
+    std::visit(overloaded{[&](const keep_streams& value) { overlay_->keep_streams(value.addresses); },
+                          [&](const send_to_peer& value) { overlay_->send(value.address, value.message); },
+                          [&](const poll_head&) { read_head(); },
+                          [&](const fetch_configuration&) { read_configuration(); },
+                          [&](const poll_members&) { read_members(); },
+                          [&](const apply_configuration& value) {
+                              version_ = value.value->version;
+                              log_info("configuration.applied", "version " + std::to_string(version_));
+                              configure(value.value);
+                          },
+                          [&](const deliver_item& value) { item_seen(value.item); },
+                          [&](const members_changed& value) { members_moved(value.members); },
+                          [&](const told_to_leave&) {
+                              log_info("member.leaving", "the platform's list says that this VM is leaving");
+                          },
+                          [&](const cluster_record& value) { apply(emit_record{value.record}, now); }},
+               action);
+}
+
+void daemon_base::read_head()
 {
-    std::unique_lock lock(poll_mutex_);
-    while (polling_) {
-        platform_->read("configuration", "current",
-                        [this](const read_result& result) { read_configuration(result); });
-        platform_->list_vms([this](const std::optional<std::vector<listed_vm>>& vms) {
-            if (vms) {
-                vms_listed(*vms);
+    platform_->read("configuration", "head", [this](const read_result& result) {
+        head_polled answer;
+        if (result.result == store_result::done) {
+            if (const auto head = head_from_row(result.row.value)) {
+                answer.head = {head->version, head->hash};
             }
-        });
-        poll_wakeup_.wait_for(lock, settings_.platform_poll, [this] { return !polling_; });
-    }
+        }
+        cluster_.post(answer);
+    });
 }
 
-void daemon_base::read_configuration(const read_result& result)
+void daemon_base::read_configuration()
 {
-    if (result.result != store_result::done) {
-        return;
-    }
-    auto value = configuration_from_json(result.row.value);
-    if (!value) {
-        log_error("configuration.rejected", value.error().message);
-        return;
-    }
-    if (value.value().version <= version_) {
-        return;
-    }
-    version_ = value.value().version;
-    log_info("configuration.applied", "version " + std::to_string(version_));
-    configure(std::make_shared<const configuration>(std::move(value).value()));
+    platform_->read("configuration", "current", [this](const read_result& result) {
+        cluster_.post(configuration_fetched{result.row.value});
+    });
 }
 
-void daemon_base::stop_polling()
+void daemon_base::read_members()
 {
-    {
-        const std::lock_guard lock(poll_mutex_);
-        polling_ = false;
-    }
-    poll_wakeup_.notify_all();
-    if (poll_thread_.joinable()) {
-        poll_thread_.join();
-    }
+    platform_->list_vms([this](const std::optional<std::vector<listed_vm>>& vms) {
+        members_polled answer;
+        if (vms) {
+            answer.members.emplace();
+            std::ranges::transform(*vms, std::back_inserter(*answer.members), listed_from);
+        }
+        cluster_.post(answer);
+    });
+}
+
+void daemon_base::report(const cluster_core& core)
+{
+    metrics_.set("clementinegap_configuration_version",
+                 static_cast<double>(core.configuration().head().version));
+    metrics_.set("clementinegap_members", static_cast<double>(core.members().fleet_size()));
+    metrics_.set("clementinegap_overlay_peers", static_cast<double>(core.connected()));
+    metrics_.set("clementinegap_overlay_items", static_cast<double>(core.items().size()));
+    metrics_.set("clementinegap_overlay_bytes_sent", static_cast<double>(overlay_->bytes_sent()));
+    metrics_.set("clementinegap_overlay_bytes_received", static_cast<double>(overlay_->bytes_received()));
 }
 
 } // namespace clementinegap
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "adapters/decision_thread.h"
 #include "adapters/http_server.h"
+#include "adapters/overlay_link.h"
 #include "adapters/peer_credentials.h"
 #include "adapters/platform_client.h"
 #include "adapters/runtime.h"
+#include "cluster/cluster_core.h"
 #include "config/configuration.h"
 #include "main/settings.h"
 #include "observability/event_log.h"
@@ -11,15 +14,12 @@
 #include "request/entry_events.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
 #include <memory>
-#include <mutex>
-#include <thread>
 
 namespace clementinegap {
 
-/// What both roles share: the admin address, the platform poll, records and metrics, the stop.
+/// What both roles share: the admin address, the part in the cluster, records and metrics, the stop.
 class daemon_base {
 public:
     explicit daemon_base(settings values);
@@ -34,10 +34,12 @@
     virtual outcome<void> start() = 0;
     virtual void begin_drain() = 0;
     virtual void stop() = 0;
-    /// A newer configuration was read.
+    /// A newer configuration is in force.
     virtual void configure(configuration_ptr value) = 0;
-    /// The platform's list was read.
-    virtual void vms_listed(const std::vector<listed_vm>& vms) = 0;
+    /// The view of the deployment's VMs changed.
+    virtual void members_moved(const std::vector<member_view>& members) = 0;
+    /// An item that another daemon published arrived.
+    virtual void item_seen(const soft_item& item) = 0;
     virtual bool ready() const = 0;
 
     void apply(const emit_record& action, time_point now);
@@ -45,6 +47,7 @@
     /// Spreads soft state among the daemons.
     void publish(const soft_item& item);
     outcome<peer_credentials> load_peer_credentials() const;
+    overlay_link& overlay() { return *overlay_; }
 
     const settings settings_;
     event_log events_;
@@ -52,18 +55,21 @@
     std::unique_ptr<platform_client> platform_;
 
 private:
+    using cluster_thread = decision_thread<cluster_core, cluster_event, cluster_action>;
+
     outcome<void> start_admin();
+    outcome<void> start_overlay();
     void on_admin(http_request request);
-    void poll_platform();
-    void read_configuration(const read_result& result);
-    void stop_polling();
+    void perform(const cluster_action& action, time_point now);
+    void read_head();
+    void read_configuration();
+    void read_members();
+    void report(const cluster_core& core);
 
     http_server admin_;
     runtime runtime_;
-    std::mutex poll_mutex_;
-    std::condition_variable poll_wakeup_;
-    bool polling_{false};
-    std::thread poll_thread_;
+    std::unique_ptr<overlay_link> overlay_;
+    cluster_thread cluster_;
     std::atomic<std::uint64_t> version_{0};
     std::atomic<bool> draining_{false};
 };
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -1,5 +1,7 @@
 #include "main/entry_daemon.h"
 
+#include "cluster/upstream_subset.h"
+
 #include <random>
 #include <utility>
 
@@ -48,6 +50,9 @@
         metrics_.set("clementinegap_requests_open", static_cast<double>(core.request_count()));
     });
     decisions_.start();
+    if (!settings_.peer_address.empty()) {
+        BOOST_OUTCOME_TRY(overlay().listen(settings_.peer_address));
+    }
     http_server_options options;
     options.address = settings_.caller_address;
     options.port = settings_.caller_port;
@@ -81,15 +86,27 @@
     decisions_.post(configuration_applied{std::move(value)});
 }
 
-void entry_daemon::vms_listed(const std::vector<listed_vm>& vms)
+void entry_daemon::members_moved(const std::vector<member_view>& members)
 {
     std::vector<std::pair<std::string, std::string>> upstreams;
-    for (const auto& vm : vms) {
-        if (vm.role == "upstream") {
-            upstreams.emplace_back(vm.name, vm.address);
-        }
+    const auto subset = choose_upstreams(
+        members, {settings_.vm, settings_.zone, settings_.region, settings_.upstreams_per_model});
+    for (const auto* chosen : subset) {
+        upstreams.emplace_back(chosen->info.vm, chosen->info.address);
     }
     peers_->connect_to(upstreams);
+    for (const auto& member : members) {
+        const bool is_leaving = member.leaving;
+        if (member.info.role == "upstream" && leaving_[member.info.vm] != is_leaving) {
+            leaving_[member.info.vm] = is_leaving;
+            decisions_.post(upstream_leaving{member.info.vm, is_leaving});
+        }
+    }
+}
+
+void entry_daemon::item_seen(const soft_item& item)
+{
+    decisions_.post(soft_item_seen{item});
 }
 
 void entry_daemon::perform(const entry_action& action, time_point now)
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -6,7 +6,9 @@
 #include "main/daemon_base.h"
 #include "request/entry_core.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace clementinegap {
 
@@ -23,7 +25,8 @@
     void begin_drain() override;
     void stop() override;
     void configure(configuration_ptr value) override;
-    void vms_listed(const std::vector<listed_vm>& vms) override;
+    void members_moved(const std::vector<member_view>& members) override;
+    void item_seen(const soft_item& item) override;
     bool ready() const override { return ready_; }
 
 private:
@@ -35,6 +38,7 @@
     thread decisions_;
     caller_gateway callers_;
     std::unique_ptr<peer_client> peers_;
+    std::map<std::string, bool> leaving_; ///< Cluster thread only.
     std::atomic<bool> ready_{false};
 };
 
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -55,6 +55,8 @@
 {
     object_reader reader(value, path, faults);
     result.peer_address = reader.string("address", "");
+    result.peer_seeds = reader.strings("seeds");
+    result.upstreams_per_model = read_size(reader, "upstreams_per_model", 4096, result.upstreams_per_model);
     const bool plain_text = reader.boolean("plain_text", false);
     result.peer_ca_file = reader.string("ca_file", "");
     result.peer_certificate_file = reader.string("certificate_file", "");
--- a/main/settings.h
+++ b/main/settings.h
@@ -25,10 +25,12 @@
 
     std::string platform_url;
     duration platform_timeout{seconds(2)};
-    duration platform_poll{seconds(1)};
+    duration platform_poll{milliseconds(200)}; ///< The least time between two reads of one daemon.
 
-    std::string peer_address; ///< "IP:port" of the peer protocol.
-    std::string peer_ca_file; ///< Empty with `plain_text`.
+    std::string peer_address;            ///< "IP:port" of the peer protocol.
+    std::vector<std::string> peer_seeds; ///< Addresses to dial while no other daemon is known.
+    std::size_t upstreams_per_model{16}; ///< Upstreams that an entry daemon keeps connections to.
+    std::string peer_ca_file;            ///< Empty with `plain_text`.
     std::string peer_certificate_file;
     std::string peer_key_file;
 
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -48,6 +48,7 @@
         metrics_.set("clementinegap_busy_slots", core.busy_slots());
     });
     decisions_.start();
+    peers_->also_serve(overlay().service());
     return peers_->start(settings_.peer_address);
 }
 
@@ -69,11 +70,16 @@
     decisions_.post(configuration_applied{std::move(value)});
 }
 
-void upstream_daemon::vms_listed(const std::vector<listed_vm>& /*vms*/)
+void upstream_daemon::members_moved(const std::vector<member_view>& /*members*/)
 {
     // Entries connect to upstream daemons, not the other way round.
 }
 
+void upstream_daemon::item_seen(const soft_item& item)
+{
+    decisions_.post(soft_item_seen{item});
+}
+
 void upstream_daemon::perform(const upstream_action& action, time_point now)
 {
     std::visit(overloaded{[&](const send_to_entry& value) { peers_->send(value.session, value.message); },
--- a/main/upstream_daemon.h
+++ b/main/upstream_daemon.h
@@ -24,7 +24,8 @@
     void begin_drain() override;
     void stop() override;
     void configure(configuration_ptr value) override;
-    void vms_listed(const std::vector<listed_vm>& vms) override;
+    void members_moved(const std::vector<member_view>& members) override;
+    void item_seen(const soft_item& item) override;
     bool ready() const override { return ready_; }
 
 private:
--- a/misc/generate_protocol.sh
+++ b/misc/generate_protocol.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed protobuf and gRPC code; needs protobuf-compiler and protobuf-compiler-grpc.
 set -eu
 cd "$(dirname "$0")/../adapters/proto"
-protoc --cpp_out=. --grpc_out=. --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
+protoc --cpp_out=. --grpc_out=. --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto overlay.proto
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -123,7 +123,7 @@
     const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
     std::vector<const upstream_view*> result;
     for (const auto& [vm, view] : upstreams_) {
-        if (view.connected && !view.leaving && serves(view, model)) {
+        if (view.connected && !view.leaving && !leaving_upstreams_.contains(vm) && serves(view, model)) {
             result.push_back(&view);
         }
     }
@@ -263,6 +263,27 @@
     }
 }
 
+void entry_core::handle(const upstream_leaving& event)
+{
+    if (!event.is_leaving) {
+        leaving_upstreams_.erase(event.vm);
+        return;
+    }
+    leaving_upstreams_.insert(event.vm);
+    std::vector<std::pair<attempt_id, request_ptr>> waiting;
+    for (const auto& [attempt, request] : attempts_) {
+        for (const auto& open : request->reservations) {
+            if (open.attempt == attempt && open.vm == event.vm) {
+                waiting.emplace_back(attempt, request);
+            }
+        }
+    }
+    for (const auto& [attempt, request] : waiting) {
+        actions_.emplace_back(send_to_upstream{event.vm, cancel_message{attempt}});
+        drop_reservation(request, attempt);
+    }
+}
+
 void entry_core::handle(const upstream_said& event)
 {
     std::visit([&](const auto& message) { on_message(event.vm, message); }, event.message);
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -60,6 +61,7 @@
     void handle(const configuration_applied& event);
     void handle(const drain_started& event);
     void handle(const soft_item_seen& event);
+    void handle(const upstream_leaving& event);
     void handle(const tick& event);
 
     void on_message(const std::string& vm, const hello_message& message);
@@ -104,6 +106,7 @@
     time_point now_{};
     configuration_ptr configuration_;
     std::map<std::string, upstream_view, std::less<>> upstreams_;
+    std::set<std::string, std::less<>> leaving_upstreams_; ///< By the cluster's word.
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
     std::uint64_t last_attempt_{0};
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -4,6 +4,7 @@
 #include "core/event_record.h"
 #include "core/result_code.h"
 #include "core/soft_state.h"
+#include "core/tick.h"
 #include "core/time.h"
 #include "request/messages.h"
 
@@ -72,17 +73,20 @@
 /// A planned stop begins: nothing new is admitted, what is admitted is finished.
 struct drain_started {};
 
+/// The cluster knows whether an upstream is leaving, be it from the VM itself or from the platform.
+struct upstream_leaving {
+    std::string vm;
+    bool is_leaving{false};
+};
+
 /// An item that another daemon published arrived.
 struct soft_item_seen {
     soft_item item;
 };
 
-/// Time passed; due timers run.
-struct tick {};
-
 using entry_event =
     std::variant<caller_request, caller_gone, caller_drained, upstream_connected, upstream_disconnected,
-                 upstream_said, configuration_applied, drain_started, soft_item_seen, tick>;
+                 upstream_said, configuration_applied, drain_started, soft_item_seen, upstream_leaving, tick>;
 
 struct send_to_upstream {
     std::string vm;
