Upstream side: fair tiers, slices, lent slots, observed pace, refusal from the bottom

Cause: one queue by target made a burst late as a whole, long work held its slot, a broken engine drew all work. Change: weighted sharing between workspaces, late work behind work that can still be in time, preemption and slices by engine pause, one lent slot for an unserved class, slots cut by own pace against the pool's, a breaker, refusal and displacement from the bottom.

--- /dev/null
+++ b/policy/drain_meter.cpp
@@ -0,0 +1,43 @@
+#include "policy/drain_meter.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+constexpr duration bucket_length = milliseconds(125);
+constexpr duration least_observed = milliseconds(500);
+
+} // namespace
+
+void drain_meter::advance(time_point now, bool waiting)
+{
+    if (waiting && last_ != time_point{}) {
+        buckets_.at(current_).waited += now - last_;
+    }
+    last_ = now;
+    if (now - bucket_began_ >= bucket_length) {
+        // A bucket is left only when something was seen in it; idle spells keep the last known rate.
+        if (buckets_.at(current_).waited > duration::zero()) {
+            current_ = (current_ + 1) % bucket_count;
+            buckets_.at(current_) = {};
+        }
+        bucket_began_ = now;
+    }
+}
+
+std::optional<duration> drain_meter::expected_wait(std::size_t ahead) const
+{
+    std::uint32_t left = 0;
+    duration waited{0};
+    for (const auto& item : buckets_) {
+        left += item.left;
+        waited += item.waited;
+    }
+    if (waited < least_observed) {
+        return std::nullopt;
+    }
+    return waited * static_cast<std::int64_t>(ahead) / std::max(left, 1U);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/policy/slot_policy.cpp
@@ -0,0 +1,80 @@
+#include "policy/slot_policy.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::string_view pace_kind = "pace";
+constexpr duration least_report_interval = milliseconds(500);
+constexpr duration longest_report_interval = seconds(30);
+constexpr duration report_lifetime = seconds(75);
+constexpr std::int64_t report_change = 4; ///< A change by one part in this many is worth a report.
+
+std::optional<duration> parse_microseconds(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool valid = error == std::errc{} && end == text.data() + text.size() && value > 0;
+    return valid ? std::optional(duration(value)) : std::nullopt;
+}
+
+} // namespace
+
+slot_policy::slot_policy(std::string vm, std::string pool, std::uint32_t slots)
+    : vm_(std::move(vm)), pool_(std::move(pool)), slots_(slots), limit_(slots)
+{
+}
+
+std::uint32_t slot_policy::limit(time_point now) const
+{
+    return breaker_.limit(limit_.limit(), now);
+}
+
+void slot_policy::item_seen(const soft_item& item, time_point now)
+{
+    if (item.kind != pace_kind || item.key != pool_ || item.origin == vm_) {
+        return;
+    }
+    if (const auto interval = parse_microseconds(item.value)) {
+        pool_pace_.seen(item.origin, *interval, now + item.lifetime);
+        median_ = pool_pace_.median(now);
+        compare();
+    }
+}
+
+std::optional<soft_item> slot_policy::report_due(time_point now)
+{
+    if (!pace_.known() || now < reported_at_ + least_report_interval) {
+        return std::nullopt;
+    }
+    compare();
+    const auto own = pace_.token_interval_time();
+    const bool changed = std::chrono::abs(own - reported_) * report_change > reported_;
+    if (!changed && now < reported_at_ + longest_report_interval) {
+        return std::nullopt;
+    }
+    reported_ = own;
+    reported_at_ = now;
+    soft_item item;
+    item.kind = pace_kind;
+    item.key = pool_;
+    item.value = std::to_string(own.count());
+    item.lifetime = report_lifetime;
+    return item;
+}
+
+std::optional<duration> slot_policy::expected_wait(std::size_t ahead, time_point now) const
+{
+    const auto wait = drain_.expected_wait(ahead);
+    if (!wait) {
+        return std::nullopt;
+    }
+    const auto slots = static_cast<std::int64_t>(std::max(limit(now), 1U));
+    const auto lent = std::min(static_cast<std::int64_t>(slices_.protected_count()), slots - 1);
+    return *wait * (slots - lent) / slots;
+}
+
+} // namespace clementinegap
--- a/request/upstream_attempt.h
+++ b/request/upstream_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "policy/queued_work.h"
 #include "request/messages.h"
 #include "request/run_record.h"
 #include "request/upstream_events.h"
@@ -12,11 +13,12 @@
 
 /// The steps of an attempt at an upstream daemon. Only `running` and later may have touched the engine.
 enum class attempt_phase : std::uint8_t {
-    queued,   ///< Waits for a slot.
-    granted,  ///< Holds a slot and waits for the dispatch.
-    claiming, ///< Holds a slot and waits for the run record to be inserted.
-    running,  ///< The engine has it.
-    watching  ///< Another attempt owns the run record; waits for its outcome.
+    queued,    ///< Waits for a slot.
+    granted,   ///< Holds a slot and waits for the dispatch.
+    claiming,  ///< Holds a slot and waits for the run record to be inserted.
+    running,   ///< The engine has it.
+    set_aside, ///< The engine has paused it; it waits for its next slice without a slot.
+    watching   ///< Another attempt owns the run record; waits for its outcome.
 };
 
 /// What an upstream daemon holds of one attempt from its reservation to its end.
@@ -28,8 +30,12 @@
     attempt_phase phase{attempt_phase::queued};
     time_point arrived;
     time_point deadline_at;
-    bool detached{false}; ///< The entry is gone; the run goes on because it may not be repeated.
-    bool on_hold{false};  ///< The engine's answer is not being read.
+    queued_work work;                ///< As the order knows it.
+    time_point began_at;             ///< When the engine was given it.
+    time_point last_token_at{never}; ///< Nothing to measure from after a pause.
+    bool starved{false};             ///< Its present slice was given because its class went unserved.
+    bool detached{false};            ///< The entry is gone; the run goes on because it may not be repeated.
+    bool on_hold{false};             ///< The engine's answer is not being read.
     std::int64_t credit{0};
     std::uint64_t sent{0};
     std::uint32_t tokens{0};
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -1,24 +1,52 @@
 #include "request/upstream_core.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace clementinegap {
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr duration longest_retry_after = seconds(30);
+constexpr int max_refused_at_once = 8;
+constexpr duration least_slice_wait = milliseconds(100);
+constexpr duration least_wait_step = milliseconds(50); ///< Of the expected wait, as it is reported.
+
+/// Upstreams that serve the same model are compared with each other.
+std::string pool_of(const upstream_settings& settings)
+{
+    return settings.models.empty() ? std::string() : settings.models.front();
+}
+
+/// The expected wait in doublings, so that only a real change is reported.
+int wait_step(duration wait)
+{
+    int step = 0;
+    for (; wait >= least_wait_step; wait /= 2) {
+        ++step;
+    }
+    return step;
+}
 
 } // namespace
 
-upstream_core::upstream_core(upstream_settings settings) : settings_(std::move(settings)) {}
+upstream_core::upstream_core(upstream_settings settings)
+    : settings_(std::move(settings)), slots_(settings_.vm, pool_of(settings_), settings_.slots)
+{
+}
 
 std::span<const upstream_action> upstream_core::on_event(const upstream_event& event, time_point now)
 {
     actions_.clear();
     now_ = std::max(now_, now);
     timers_.run_due(now_);
+    slots_.drain().advance(now_, queued() > set_aside_);
     std::visit([this](const auto& value) { handle(value); }, event);
     give_out_slots();
+    if (is_tiered()) {
+        refuse_hopeless();
+    }
     publish_load();
     return actions_;
 }
@@ -51,14 +79,13 @@
         }
     }
     for (const auto& attempt : orphans) {
-        const bool runs_to_its_end =
-            attempt->phase == attempt_phase::running && attempt->reservation.never_repeat;
+        const bool runs_to_its_end = at_engine(*attempt) && attempt->reservation.never_repeat;
         if (runs_to_its_end) {
             attempt->detached = true;
             record(*attempt, "run.detached", "the entry is gone and the request may not be repeated");
             continue;
         }
-        if (attempt->phase == attempt_phase::running) {
+        if (at_engine(*attempt)) {
             actions_.emplace_back(engine_cancel{attempt->id});
         }
         forget(attempt);
@@ -87,13 +114,8 @@
         remember(message.attempt);
         return;
     }
-    if (queued() >= settings_.max_queue) {
-        send(*attempt, refused_message{message.attempt, result_code::overloaded, default_retry_after});
-        remember(message.attempt);
-        return;
-    }
     attempts_.emplace(message.attempt, attempt);
-    queued_work work;
+    auto& work = attempt->work;
     work.id = attempt->id;
     work.tier = message.tier;
     work.workspace = message.workspace;
@@ -104,7 +126,32 @@
     work.deadline_at = attempt->deadline_at;
     work.starvation_bound = message.starvation_bound;
     runs_.emplace(attempt->id, attempt);
-    std::visit([&](auto& order) { order.push(std::move(work)); }, settings_.order);
+    if (enqueue(attempt)) {
+        return;
+    }
+    // Not in the order, so nothing is to be taken out of it.
+    attempt->phase = attempt_phase::watching;
+    refuse(attempt, result_code::overloaded, retry_after());
+}
+
+bool upstream_core::enqueue(const attempt_ptr& attempt)
+{
+    // A slot that is lent to a starving class must not cost anyone above it a place.
+    const auto room = settings_.max_queue + slots_.slices().protected_count();
+    if (queued() - set_aside_ >= room) {
+        const auto* last = is_tiered() ? std::get<tiered_order>(settings_.order).last() : nullptr;
+        const auto& work = attempt->work;
+        const bool displaces =
+            last != nullptr && std::pair(last->tier, last->target_at) > std::pair(work.tier, work.target_at);
+        if (!displaces) {
+            return false;
+        }
+        const auto displaced = runs_.at(last->id);
+        record(*displaced, "attempt.displaced", attempt->reservation.request_id);
+        refuse(displaced, result_code::overloaded, retry_after());
+    }
+    std::visit([&](auto& order) { order.push(attempt->work); }, settings_.order);
+    return true;
 }
 
 void upstream_core::on_message(session_id session, const dispatch_message& message)
@@ -138,7 +185,7 @@
     if (attempt == nullptr) {
         return;
     }
-    if (attempt->phase == attempt_phase::running) {
+    if (at_engine(*attempt)) {
         if (attempt->reservation.never_repeat) {
             attempt->detached = true;
             return;
@@ -146,6 +193,9 @@
         actions_.emplace_back(engine_cancel{attempt->id});
         record(*attempt, "run.cancelled", "nobody waits for the answer");
     }
+    if (attempt->phase == attempt_phase::queued) {
+        slots_.drain().left();
+    }
     forget(attempt);
 }
 
@@ -158,6 +208,7 @@
     attempt->credit += message.bytes;
     if (attempt->on_hold && attempt->credit > 0) {
         attempt->on_hold = false;
+        attempt->last_token_at = never;
         actions_.emplace_back(engine_read{attempt->id});
     }
 }
@@ -172,21 +223,147 @@
 
 void upstream_core::give_out_slots()
 {
-    while (busy_slots_ < settings_.slots) {
-        const auto work = std::visit([&](auto& order) { return order.pop(now_); }, settings_.order);
-        if (!work) {
-            return;
+    if (!is_tiered()) {
+        while (busy_slots_ < settings_.slots) {
+            const auto work = std::get<fifo_order>(settings_.order).pop(now_);
+            if (!work) {
+                return;
+            }
+            give_slot(*work);
         }
-        const auto found = runs_.find(work->id);
-        if (found == runs_.end()) {
+        return;
+    }
+    auto& order = std::get<tiered_order>(settings_.order);
+    order.set_first_token_time(slots_.first_token_time());
+    while (const auto tier = order.first_tier()) {
+        if (lend_slot_to_starving()) {
             continue;
         }
-        const auto attempt = found->second;
-        if (now_ >= attempt->deadline_at) {
-            refuse(attempt, result_code::deadline_expired, duration::zero());
-            continue;
+        const bool free = busy_slots_ < slots_.limit(now_);
+        const auto yielding = free ? std::nullopt : yielding_run(*tier);
+        if (!free && !yielding) {
+            return;
+        }
+        const auto work = order.pop(now_);
+        if (yielding) {
+            set_aside(runs_.at(*yielding));
+        }
+        give_slot(*work);
+    }
+}
+
+std::optional<run_id> upstream_core::yielding_run(std::uint8_t tier) const
+{
+    const bool possible = slots_.limit(now_) > 0 && set_aside_ < settings_.max_set_aside;
+    return possible ? slots_.slices().victim(tier) : std::nullopt;
+}
+
+void upstream_core::give_slot(const queued_work& work)
+{
+    const auto found = runs_.find(work.id);
+    if (found == runs_.end()) {
+        return;
+    }
+    const auto attempt = found->second;
+    if (attempt->phase == attempt_phase::set_aside) {
+        --set_aside_;
+        ++busy_slots_;
+        attempt->phase = attempt_phase::running;
+        actions_.emplace_back(engine_resume{attempt->id});
+        begin_slice(attempt);
+        return;
+    }
+    if (now_ >= attempt->deadline_at) {
+        refuse(attempt, result_code::deadline_expired, duration::zero());
+        return;
+    }
+    slots_.drain().left();
+    grant(attempt);
+}
+
+bool upstream_core::lend_slot_to_starving()
+{
+    // Only a slot that became free by itself is lent, and one at a time, so that nothing is preempted for it.
+    if (lent_slots_ > 0 || busy_slots_ >= slots_.limit(now_)) {
+        return false;
+    }
+    auto& order = std::get<tiered_order>(settings_.order);
+    const auto starving = order.starving_class(now_);
+    if (!starving) {
+        return false;
+    }
+    const auto work = order.pop_class(*starving, now_);
+    const auto attempt = runs_.at(work->id);
+    attempt->starved = true;
+    ++lent_slots_;
+    record(*attempt, "slot.lent", "the class went unserved past its bound");
+    give_slot(*work);
+    return true;
+}
+
+void upstream_core::set_aside(const attempt_ptr& attempt)
+{
+    release_slot(*attempt);
+    attempt->phase = attempt_phase::set_aside;
+    attempt->last_token_at = never;
+    ++set_aside_;
+    auto& work = attempt->work;
+    work.set_aside = true;
+    work.arrived = now_;
+    work.target_at = now_ + std::max(attempt->reservation.target_left, least_slice_wait);
+    std::get<tiered_order>(settings_.order).push(work);
+    actions_.emplace_back(engine_pause{attempt->id});
+    record(*attempt, "run.set_aside", "");
+}
+
+void upstream_core::begin_slice(const attempt_ptr& attempt)
+{
+    const auto& about = attempt->reservation;
+    const auto* rules = configuration_ == nullptr ? nullptr : configuration_->find_class(about.class_name);
+    const bool pausable = rules == nullptr || !rules->is_service;
+    const auto quantum = about.quantum_tokens == 0 ? UINT32_MAX : about.quantum_tokens;
+    attempt->last_token_at = never;
+    slots_.slices().begin({attempt->id, about.tier, quantum, pausable, attempt->starved});
+}
+
+void upstream_core::refuse_hopeless()
+{
+    const auto& order = std::get<tiered_order>(settings_.order);
+    // From the bottom: the least urgent work of the lowest tier, as long as its turn comes after its
+    // deadline.
+    for (int refused = 0; refused < max_refused_at_once; ++refused) {
+        const auto* last = order.last();
+        if (last == nullptr) {
+            return;
         }
-        grant(attempt);
+        const auto wait = slots_.expected_wait(order.size_to(last->tier), now_);
+        if (!wait || now_ + *wait <= last->deadline_at) {
+            return;
+        }
+        refuse(runs_.at(last->id), result_code::overloaded, retry_after());
+    }
+}
+
+duration upstream_core::retry_after() const
+{
+    const auto wait = slots_.expected_wait(queued(), now_);
+    return wait ? std::clamp<duration>(*wait, least_slice_wait, longest_retry_after) : default_retry_after;
+}
+
+void upstream_core::measure_pace(upstream_attempt& attempt, std::uint32_t tokens)
+{
+    if (tokens == 0) {
+        return;
+    }
+    if (attempt.tokens == attempt.dispatch.resume_from_token) {
+        slots_.first_token(now_ - attempt.began_at);
+    } else if (attempt.last_token_at != never) {
+        slots_.token_interval((now_ - attempt.last_token_at) / tokens);
+    }
+    attempt.last_token_at = now_;
+    slots_.slices().produced(attempt.id, tokens);
+    if (is_tiered()) {
+        std::get<tiered_order>(settings_.order).charge(attempt.work, tokens);
     }
 }
 
@@ -202,15 +379,24 @@
     });
 }
 
+bool upstream_core::at_engine(const upstream_attempt& attempt) const
+{
+    return attempt.phase == attempt_phase::running || attempt.phase == attempt_phase::set_aside;
+}
+
 bool upstream_core::holds_slot(const upstream_attempt& attempt) const
 {
     return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::claiming ||
            attempt.phase == attempt_phase::running;
 }
 
-void upstream_core::release_slot()
+void upstream_core::release_slot(upstream_attempt& attempt)
 {
     --busy_slots_;
+    slots_.slices().end(attempt.id);
+    if (std::exchange(attempt.starved, false)) {
+        --lent_slots_;
+    }
 }
 
 // --- Claims of never-repeat runs
@@ -292,7 +478,7 @@
 void upstream_core::watch(const attempt_ptr& attempt, const run_record& record_found)
 {
     if (holds_slot(*attempt)) {
-        release_slot();
+        release_slot(*attempt);
     }
     attempt->phase = attempt_phase::watching;
     if (record_found.fingerprint != attempt->reservation.fingerprint) {
@@ -340,6 +526,9 @@
 void upstream_core::start(const attempt_ptr& attempt)
 {
     attempt->phase = attempt_phase::running;
+    attempt->began_at = now_;
+    attempt->tokens = attempt->dispatch.resume_from_token;
+    begin_slice(attempt);
     engine_start action;
     action.run = attempt->id;
     // Two attempts of a request may meet at one engine, so the attempt is part of the name.
@@ -380,6 +569,7 @@
 
 void upstream_core::relay(upstream_attempt& attempt, const std::string& bytes, std::uint32_t tokens)
 {
+    measure_pace(attempt, tokens);
     attempt.tokens += tokens;
     keep(attempt, bytes);
     if (attempt.detached) {
@@ -405,10 +595,11 @@
 void upstream_core::handle(const engine_ended& event)
 {
     const auto found = runs_.find(event.run);
-    if (found == runs_.end() || found->second->phase != attempt_phase::running) {
+    if (found == runs_.end() || !at_engine(*found->second)) {
         return;
     }
     const auto attempt = found->second;
+    note_engine_health(event.kind);
     switch (event.kind) {
     case engine_end_kind::complete:
         store_outcome(*attempt, result_code::ok);
@@ -425,6 +616,19 @@
     }
 }
 
+void upstream_core::note_engine_health(engine_end_kind kind)
+{
+    if (kind == engine_end_kind::complete) {
+        slots_.run_succeeded();
+        return;
+    }
+    slots_.run_failed(now_);
+    if (is_tiered() && slots_.closed_until() > now_ && breaker_timer_ == 0) {
+        // Slots are given out after every event; the timer makes sure that there is one.
+        breaker_timer_ = timers_.schedule(slots_.closed_until(), [this](time_point) { breaker_timer_ = 0; });
+    }
+}
+
 void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code)
 {
     if (!is_keyed(attempt)) {
@@ -463,11 +667,14 @@
 {
     timers_.cancel(std::exchange(attempt->timer, 0));
     if (holds_slot(*attempt)) {
-        release_slot();
+        release_slot(*attempt);
     }
-    if (attempt->phase == attempt_phase::queued) {
+    if (attempt->phase == attempt_phase::queued || attempt->phase == attempt_phase::set_aside) {
         std::visit([&](auto& order) { order.erase(attempt->id); }, settings_.order);
     }
+    if (attempt->phase == attempt_phase::set_aside) {
+        --set_aside_;
+    }
     runs_.erase(attempt->id);
     attempts_.erase(attempt->reservation.attempt);
     remember(attempt->reservation.attempt);
@@ -521,9 +728,11 @@
     }
 }
 
-void upstream_core::handle(const soft_item_seen& /*event*/)
+void upstream_core::handle(const soft_item_seen& event)
 {
-    // No policy of this core uses soft state yet.
+    if (is_tiered()) {
+        slots_.item_seen(event.item, now_);
+    }
 }
 
 void upstream_core::handle(const tick& /*event*/)
@@ -533,20 +742,30 @@
 
 load_message upstream_core::current_load() const
 {
+    const auto limit = is_tiered() ? slots_.limit(now_) : settings_.slots;
     load_message load;
-    load.free_slots = busy_slots_ < settings_.slots ? settings_.slots - busy_slots_ : 0;
+    load.free_slots = busy_slots_ < limit ? limit - busy_slots_ : 0;
     load.queued = static_cast<std::uint32_t>(queued());
+    load.expected_wait = slots_.expected_wait(queued(), now_).value_or(duration::zero());
+    load.slowed = is_tiered() && slots_.slowed(now_);
     load.leaving = draining_;
     return load;
 }
 
 void upstream_core::publish_load()
 {
+    if (is_tiered()) {
+        if (auto item = slots_.report_due(now_)) {
+            actions_.emplace_back(publish_item{std::move(*item)});
+        }
+    }
     const auto load = current_load();
-    // Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken.
-    const bool matters = load.leaving != published_.leaving ||
+    // Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken,
+    // and the wait in doublings.
+    const bool matters = load.leaving != published_.leaving || load.slowed != published_.slowed ||
                          (load.free_slots == 0) != (published_.free_slots == 0) ||
-                         (load.queued == 0) != (published_.queued == 0);
+                         (load.queued == 0) != (published_.queued == 0) ||
+                         std::abs(wait_step(load.expected_wait) - wait_step(published_.expected_wait)) > 1;
     if (!matters) {
         return;
     }
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "policy/slot_policy.h"
 #include "policy/work_order.h"
 #include "request/upstream_attempt.h"
 #include "request/upstream_events.h"
@@ -25,8 +26,9 @@
     std::uint64_t incarnation{1};
     std::vector<std::string> models;
     std::uint32_t slots{8};
-    std::size_t max_queue{1024};
-    std::size_t max_remembered{65536};  ///< Ended attempts that are still recognised.
+    std::size_t max_queue{1024};       ///< Reservations that wait for a slot.
+    std::size_t max_set_aside{256};    ///< Paused runs that the engine keeps; beyond it nothing is preempted.
+    std::size_t max_remembered{65536}; ///< Ended attempts that are still recognised.
     std::size_t max_kept_answer{65536}; ///< Bytes of an answer that are kept for resends.
     duration grant_timeout{milliseconds(500)};
     duration watch_interval{milliseconds(100)};
@@ -46,6 +48,7 @@
     time_point next_due() const { return timers_.next_due(); }
     std::size_t queued() const;
     std::uint32_t busy_slots() const { return busy_slots_; }
+    std::size_t set_aside_runs() const { return set_aside_; }
     bool ready() const { return !draining_; }
 
 private:
@@ -70,7 +73,16 @@
     void on_message(session_id session, const cancel_message& message);
     void on_message(session_id session, const credit_message& message);
 
+    bool enqueue(const attempt_ptr& attempt);
     void give_out_slots();
+    std::optional<run_id> yielding_run(std::uint8_t tier) const;
+    void give_slot(const queued_work& work);
+    bool lend_slot_to_starving();
+    void set_aside(const attempt_ptr& attempt);
+    void begin_slice(const attempt_ptr& attempt);
+    void refuse_hopeless();
+    duration retry_after() const;
+    void measure_pace(upstream_attempt& attempt, std::uint32_t tokens);
     void grant(const attempt_ptr& attempt);
     void claim(const attempt_ptr& attempt);
     void start(const attempt_ptr& attempt);
@@ -81,10 +93,13 @@
 
     void refuse(const attempt_ptr& attempt, result_code code, duration retry_after);
     void finish(const attempt_ptr& attempt, result_code code, ran_state ran);
+    void note_engine_health(engine_end_kind kind);
     void store_outcome(const upstream_attempt& attempt, result_code code);
     void forget(const attempt_ptr& attempt);
-    void release_slot();
+    void release_slot(upstream_attempt& attempt);
     bool holds_slot(const upstream_attempt& attempt) const;
+    bool at_engine(const upstream_attempt& attempt) const;
+    bool is_tiered() const { return std::holds_alternative<tiered_order>(settings_.order); }
     bool is_keyed(const upstream_attempt& attempt) const;
     run_record record_of(const upstream_attempt& attempt) const;
 
@@ -96,6 +111,7 @@
     void remember(attempt_id attempt);
 
     upstream_settings settings_;
+    slot_policy slots_;
     timer_service timers_;
     time_point now_{};
     configuration_ptr configuration_;
@@ -105,6 +121,9 @@
     std::set<attempt_id> ended_;
     std::deque<attempt_id> ended_order_;
     std::uint32_t busy_slots_{0};
+    std::size_t set_aside_{0};
+    std::uint32_t lent_slots_{0}; ///< Held by slices of starving classes.
+    timer_service::timer_id breaker_timer_{0};
     std::uint64_t last_id_{0};
     load_message published_;
     bool draining_{false};
--- a/tests/experiments/experiment.h
+++ b/tests/experiments/experiment.h
@@ -56,7 +56,7 @@
 struct experiment {
     std::string name;
     std::uint64_t seed{1};
-    duration length{seconds(12)};     ///< How long requests arrive.
+    duration length{seconds(12)};      ///< How long requests arrive.
     duration settle_time{seconds(60)}; ///< How long the last ones may take to end.
     int entries{4};
     int upstreams{12};
@@ -68,10 +68,10 @@
     std::vector<workspace_load> workspaces;
     std::vector<demand_swing> swings;
     std::vector<experiment_fault> faults;
-    duration measured_from{0};   ///< First-token percentiles count requests sent from here on.
-    duration window_from{0};     ///< Goodput is measured in this window.
-    duration window_to{0};       ///< Zero: the whole length.
-    std::string poison;          ///< A body that crashes each engine that runs it; empty for none.
+    duration measured_from{0}; ///< First-token percentiles count requests sent from here on.
+    duration window_from{0};   ///< Goodput is measured in this window.
+    duration window_to{0};     ///< Zero: the whole length.
+    std::string poison;        ///< A body that crashes each engine that runs it; empty for none.
 
     class_load& load_of(const std::string& class_name);
 };
--- a/tests/experiments/experiment_run.h
+++ b/tests/experiments/experiment_run.h
@@ -35,10 +35,10 @@
 /// The measures of one run.
 struct experiment_measures {
     std::map<std::string, class_measures> classes;
-    std::uint64_t produced{0};  ///< Tokens by all engines.
-    std::uint64_t received{0};  ///< Tokens that reached a caller.
-    double goodput{0};          ///< Tokens a second in the window that reached callers.
-    double engine_use{0};       ///< Share of the engines' slot time in the window that made received tokens.
+    std::uint64_t produced{0}; ///< Tokens by all engines.
+    std::uint64_t received{0}; ///< Tokens that reached a caller.
+    double goodput{0};         ///< Tokens a second in the window that reached callers.
+    double engine_use{0};      ///< Share of the engines' slot time in the window that made received tokens.
     double wasted() const;
 };
 
