--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "core/result_code.h"
 #include "main/command_config.h"
+#include "main/command_load.h"
 
 #include <cstdio>
 #include <functional>
@@ -26,6 +27,7 @@
     static const std::map<std::string, command_function> table{
         {"codes", show_codes},
         {"config", config_command},
+        {"load", load_command},
         {"questionnaire", questionnaire_command},
     };
     return table;
