Submissions in one transaction, questionnaires that name both sides of a conflict

Cause: a submission overwrote the whole configuration with one team's answers, a lost answer was reported as unknown without a way to find out, and wrong answers of several kinds passed. Change: submitter replaces the team's answers (compare-and-set on the version that they were made from) and the configuration of all teams in one transaction with head, history and submission rows; it reads a lost answer back by submission id and waits for an outage within a bound. JSON with numbers out of range or nested without end ended in an exception or deep recursion; both are faults now. The platform stand-in counts its reads. Conclusion: two teams can resubmit at once; the loser is told what changed.

--- a/config/questionnaire.h
+++ b/config/questionnaire.h
@@ -33,7 +33,9 @@
     lateness_harm late{lateness_harm::annoyance};
     repetition_harm repeated{repetition_harm::none};
     answer_length length{answer_length::page};
-    std::string path; ///< Requests under this path belong to the work unless they name a class.
+    std::string path;               ///< Requests under this path belong to the work unless they name a class.
+    std::vector<std::string> after; ///< Works that are served before this one, whatever else was answered.
+    double peak_requests_per_second{0}; ///< 0: not stated.
 };
 
 /// One workspace that calls.
@@ -44,11 +46,20 @@
     double requests_per_second{0}; ///< 0: no limit.
 };
 
+/// The servers that a team knows to run one model or service.
+struct capacity_answer {
+    std::string model;
+    int servers{0};
+    int requests_at_once{0}; ///< By one server.
+};
+
 /// The answers of one team.
 struct questionnaire {
     std::string team;
     std::vector<work_answer> work;
     std::vector<caller_answer> callers;
+    std::vector<capacity_answer> capacity;
+    std::optional<std::uint64_t> based_on; ///< The version that the answers were read with.
     std::optional<time_point> ends_at;
 };
 
@@ -58,4 +69,14 @@
 /// The configuration that the teams' answers give: the same answers always give the same configuration.
 outcome<configuration> generate_configuration(const std::vector<questionnaire>& teams);
 
+/// One generated value and the answers that gave it.
+struct explanation {
+    std::string path;
+    std::string value;
+    std::string because;
+};
+
+/// The answers behind each value of the classes, limits and the shutdown plan.
+outcome<std::vector<explanation>> explain_configuration(const std::vector<questionnaire>& teams);
+
 } // namespace clementinegap
--- a/core/checked_json.cpp
+++ b/core/checked_json.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t max_shown_characters = 60;
+constexpr int max_depth = 64;
 
 std::string shown(const json& value)
 {
@@ -238,13 +239,25 @@
 
 std::optional<json> parse_json_with_comments(std::string_view text, fault_list& faults)
 {
+    bool too_deep = false;
+    const json::parser_callback_t check_depth = [&](int depth, json::parse_event_t, json&) {
+        too_deep = too_deep || depth > max_depth;
+        return !too_deep;
+    };
     try {
-        return json::parse(text, nullptr, true, true);
+        auto document = json::parse(text, check_depth, true, true);
+        if (!too_deep) {
+            return document;
+        }
+        faults.add("(document)", "more than " + std::to_string(max_depth) + " levels",
+                   "a document that is nested less");
     } catch (const json::parse_error& problem) {
         faults.add("(document)", "a syntax error at byte " + std::to_string(problem.byte),
                    "JSON with comments");
-        return std::nullopt;
+    } catch (const json::exception&) {
+        faults.add("(document)", "a number that is too large", "numbers within the range of their member");
     }
+    return std::nullopt;
 }
 
 std::string nearest_word(std::string_view word, std::span<const std::string> words)
--- a/main/command_config.h
+++ b/main/command_config.h
@@ -4,10 +4,10 @@
 
 namespace clementinegap {
 
-/// `config generate|check|submit|show`.
+/// `config generate|check|diff|submit|show|history`.
 exit_code config_command(const std::vector<std::string>& words);
 
-/// `questionnaire check`.
+/// `questionnaire new|check|show`.
 exit_code questionnaire_command(const std::vector<std::string>& words);
 
 } // namespace clementinegap
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -69,6 +69,7 @@
 json platform_stand_in::answer_to(const http_request& request, const json& body, std::uint16_t& status)
 {
     if (request.path == "/v1/vms") {
+        ++reads_;
         return {{"vms", vms_}};
     }
     if (request.path.starts_with("/v1/objects/")) {
@@ -82,9 +83,11 @@
         return transact(body, status);
     }
     if (request.path == "/v1/tables/read") {
+        ++reads_;
         return read(body, status);
     }
     if (request.path == "/v1/tables/scan") {
+        ++reads_;
         return scan(body);
     }
     status = http_not_found;
