Answer every bad input with its code; bound what a slow reader holds

Cause: a stalled sender was closed without an answer, a body without end was cut off silently, a bad deadline header was called a malformed body, /v1/models was missing, a reader that always lagged a little made the server keep every byte that it had taken, and a stop could meet a connection that was suspended after the last look. Change: 408 and 413 are written to the socket where libmicrohttpd takes no answer; early 413 for announced lengths; codes 103 for a model that nobody serves, 109, 110 (new: method_not_allowed); model list from the connected upstreams; consumed bytes are given back; one poll() for all waiting callers instead of one each under the table's lock. Over TLS a stalled sender is still closed without an answer.

--- a/adapters/caller_gateway.cpp
+++ b/adapters/caller_gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/checked_json.h"
 #include "core/digest.h"
 #include "request/failure_answer.h"
+#include "request/model_list.h"
 
 #include <charconv>
 
@@ -21,6 +22,22 @@
     return path == "/v1/chat/completions" || path == "/v1/completions";
 }
 
+/// Whether the path names a service.
+bool is_service_path(std::string_view path)
+{
+    return path.starts_with(service_prefix) && path.size() > service_prefix.size();
+}
+
+bool is_reading(std::string_view method)
+{
+    return method == "GET" || method == "HEAD";
+}
+
+result_code code_of(receive_fault fault)
+{
+    return fault == receive_fault::too_large ? result_code::body_too_large : result_code::sender_too_slow;
+}
+
 /// The prompt as one text: the messages' contents one after another, or the plain prompt.
 std::string prompt_text(const json& body)
 {
@@ -92,7 +109,8 @@
         const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
         if (problem != std::errc() || end != text.data() + text.size() || value <= 0 ||
             value > max_deadline_ms) {
-            result.malformed = true;
+            result.bad_header = "Clementinegap-Deadline-Ms takes a whole number from 1 to " +
+                                std::to_string(max_deadline_ms) + ".";
         } else {
             result.deadline = milliseconds(value);
         }
@@ -100,7 +118,7 @@
     result.body = std::move(request.body);
     if (is_model_path(result.path)) {
         read_model_body(result);
-    } else {
+    } else if (is_service_path(result.path)) {
         result.model = service_of(result.path);
     }
     return result;
@@ -114,22 +132,30 @@
     events.on_drained = [this](exchange_id exchange, std::uint32_t bytes) {
         (void)sink_(caller_drained{exchange, bytes});
     };
-    return server_.start(options, std::move(events));
+    auto with_answers = options;
+    with_answers.answer_fault = [](receive_fault fault) {
+        const auto answer = failure_answer(0, {code_of(fault), ran_state::no, duration::zero(), ""}, "");
+        return fault_answer{answer.status, answer.body};
+    };
+    return server_.start(with_answers, std::move(events));
 }
 
 void caller_gateway::on_request(http_request request)
 {
     const auto exchange = request.exchange;
-    if (request.fault == receive_fault::too_large) {
-        refuse(exchange, result_code::body_too_large, "");
+    if (request.fault != receive_fault::none) {
+        refuse(exchange, code_of(request.fault), "");
         return;
     }
-    if (request.fault == receive_fault::too_slow) {
-        refuse(exchange, result_code::sender_too_slow, "");
+    const bool lists_models = request.path == models_path;
+    if (!is_model_path(request.path) && !lists_models && !is_service_path(request.path)) {
+        refuse(exchange, result_code::not_found, "");
         return;
     }
-    if (!is_model_path(request.path) && !request.path.starts_with(service_prefix)) {
-        refuse(exchange, result_code::not_found, "");
+    const bool method_fits =
+        lists_models ? is_reading(request.method) : !is_model_path(request.path) || request.method == "POST";
+    if (!method_fits) {
+        refuse(exchange, result_code::method_not_allowed, "");
         return;
     }
     if (!sink_(parse_caller_request(std::move(request)))) {
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -4,10 +4,12 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <charconv>
 #include <condition_variable>
 #include <cstring>
 #include <mutex>
@@ -23,6 +25,8 @@
 constexpr std::size_t drain_report_bytes = 16384;
 constexpr std::size_t discard_factor = 8;
 constexpr auto watch_interval = std::chrono::milliseconds(100);
+/// A consumed prefix of a stream's buffer is given back once it is this long and the longer part.
+constexpr std::size_t compaction_bytes = 65536;
 
 std::string lower_case(std::string_view text)
 {
@@ -81,6 +85,22 @@
     return MHD_YES;
 }
 
+/// The length that the headers announce; 0 without one.
+std::size_t declared_length(const http_request& request)
+{
+    const auto text = request.header("content-length");
+    std::size_t length = 0;
+    std::from_chars(text.data(), text.data() + text.size(), length);
+    return length;
+}
+
+std::string fault_text(const fault_answer& answer)
+{
+    return "HTTP/1.1 " + std::to_string(answer.status) +
+           " Refused\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+           std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
+}
+
 void add_headers(MHD_Response* response, const http_server::headers& fields)
 {
     for (const auto& [name, value] : fields) {
@@ -150,6 +170,8 @@
             return;
         }
         {
+            // From here on no exchange is opened, so that none can suspend its connection after the last look
+            // below; libmicrohttpd does not stop over a suspended connection.
             const std::lock_guard lock(table_mutex_);
             running_ = false;
         }
@@ -170,6 +192,16 @@
         return info == nullptr ? std::uint16_t{0} : info->port;
     }
 
+    std::size_t buffered()
+    {
+        std::size_t total = 0;
+        for (const auto& item : all()) {
+            const std::lock_guard lock(item->mutex);
+            total += item->buffer.size();
+        }
+        return total;
+    }
+
     /// Applies `change` to an exchange that is still there and lets its connection go on.
     template <class Change> void change(exchange_id id, Change&& change)
     {
@@ -206,17 +238,36 @@
                       std::size_t* size, void** context)
     {
         if (*context == nullptr) {
-            *context = open(connection, url, method).get();
-            return MHD_YES;
+            const auto opened = open(connection, url, method);
+            if (opened == nullptr) {
+                return MHD_NO;
+            }
+            *context = opened.get();
+            return refused_by_headers(*opened) ? deliver(*opened) : MHD_YES;
         }
         auto& item = *static_cast<exchange*>(*context);
+        if (item.delivered) {
+            *size = 0;
+            return queue_answer(item);
+        }
         if (*size > 0) {
             return receive(item, data, size);
         }
-        if (!item.delivered) {
-            return deliver(item);
+        return deliver(item);
+    }
+
+    /// Whether the body's announced length is too large and its sender waits for leave to send it, or would
+    /// send more than is discarded. The answer then goes out before the body comes.
+    bool refused_by_headers(exchange& item) const
+    {
+        const auto length = declared_length(item.request);
+        const bool waits = !item.request.header("expect").empty();
+        const auto limit = waits ? options_.max_body : options_.max_body * discard_factor;
+        if (length <= limit) {
+            return false;
         }
-        return queue_answer(item);
+        item.request.fault = receive_fault::too_large;
+        return true;
     }
 
     exchange_ptr open(MHD_Connection* connection, const char* url, const char* method)
@@ -231,6 +282,9 @@
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header, &item->request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_query, &item->request.query);
         const std::lock_guard lock(table_mutex_);
+        if (!running_) {
+            return nullptr;
+        }
         item->id = ++last_id_;
         item->request.exchange = item->id;
         table_.emplace(item->id, item);
@@ -240,38 +294,41 @@
     MHD_Result receive(exchange& item, const char* data, std::size_t* size)
     {
         auto& request = item.request;
-        if (std::chrono::steady_clock::now() - item.started > options_.receive_timeout) {
-            request.fault = receive_fault::too_slow;
-        }
         if (request.body.size() + *size > options_.max_body) {
             request.fault = receive_fault::too_large;
+            request.body.clear();
         }
         item.taken += *size;
         if (request.fault == receive_fault::none) {
             request.body.append(data, *size);
-        } else if (item.taken > options_.max_body * discard_factor ||
-                   request.fault == receive_fault::too_slow) {
-            return refuse_rest(item, size);
+        } else if (item.taken > options_.max_body * discard_factor) {
+            const std::lock_guard lock(item.mutex);
+            cut_off(item, receive_fault::too_large);
+            return MHD_NO;
         }
         *size = 0;
         return MHD_YES;
     }
 
-    /// The sender is not listened to any longer; it is told at once instead of after its last byte.
-    MHD_Result refuse_rest(exchange& item, std::size_t* size)
+    /// Answers a sender in the middle of its request and stops listening to it. libmicrohttpd takes no answer
+    /// there, so it is written to the socket, on which nothing else is being written at that time.
+    void cut_off(exchange& item, receive_fault fault) const
     {
-        if (item.request.fault == receive_fault::too_large) {
-            return MHD_NO;
+        item.aborted = true;
+        if (options_.answer_fault && options_.tls_certificate_pem.empty()) {
+            const auto text = fault_text(options_.answer_fault(fault));
+            (void)::send(item.socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         }
-        *size = 0;
-        item.request.body.clear();
-        return deliver(item);
+        (void)::shutdown(item.socket, SHUT_RD);
     }
 
     MHD_Result deliver(exchange& item)
     {
         {
             const std::lock_guard lock(item.mutex);
+            if (item.aborted) {
+                return MHD_NO;
+            }
             item.delivered = true;
             item.taken = 0;
             item.suspended = true;
@@ -317,10 +374,7 @@
             const auto count = std::min(left, max);
             std::memcpy(target, item.buffer.data() + item.taken, count);
             item.taken += count;
-            if (item.taken == item.buffer.size()) {
-                item.buffer.clear();
-                item.taken = 0;
-            }
+            drop_taken(item);
             notify_drained(item, count);
             return static_cast<ssize_t>(count);
         }
@@ -332,6 +386,18 @@
         return 0;
     }
 
+    /// A reader that is never quite up to date would otherwise keep every byte it ever took.
+    static void drop_taken(exchange& item)
+    {
+        if (item.taken == item.buffer.size()) {
+            item.buffer.clear();
+            item.taken = 0;
+        } else if (item.taken >= compaction_bytes && item.taken * 2 > item.buffer.size()) {
+            item.buffer.erase(0, item.taken);
+            item.taken = 0;
+        }
+    }
+
     static void notify_drained(exchange& item, std::size_t count)
     {
         item.unreported += count;
@@ -379,23 +445,56 @@
         return result;
     }
 
-    /// libmicrohttpd does not look at suspended connections, so callers that leave while they wait are found
-    /// here.
+    /// libmicrohttpd neither looks at suspended connections nor answers a sender that stalls, so both are
+    /// found here: callers that leave while they wait, and requests that are not received in time.
     void watch_sockets()
     {
         std::unique_lock lock(table_mutex_);
         while (running_) {
             watch_wakeup_.wait_for(lock, watch_interval, [this] { return !running_; });
-            for (const auto& [id, item] : table_) {
-                const std::lock_guard item_lock(item->mutex);
-                if (!item->suspended || item->gone) {
-                    continue;
-                }
-                pollfd state{item->socket, POLLRDHUP, 0};
-                if (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
-                    item->aborted = true;
-                    resume_locked(*item);
-                }
+            const auto waiting = look_at_exchanges();
+            lock.unlock();
+            end_departed(waiting);
+            lock.lock();
+        }
+    }
+
+    /// Cuts off the stalled senders and returns the exchanges that wait for their answer.
+    std::vector<exchange_ptr> look_at_exchanges()
+    {
+        const auto latest_start = std::chrono::steady_clock::now() - options_.receive_timeout;
+        std::vector<exchange_ptr> waiting;
+        for (const auto& [id, item] : table_) {
+            const std::lock_guard lock(item->mutex);
+            if (item->suspended) {
+                waiting.push_back(item);
+            } else if (!item->delivered && !item->aborted && item->started < latest_start) {
+                cut_off(*item, receive_fault::too_slow);
+            }
+        }
+        return waiting;
+    }
+
+    static void end_departed(const std::vector<exchange_ptr>& waiting)
+    {
+        std::vector<pollfd> states;
+        states.reserve(waiting.size());
+        for (const auto& item : waiting) {
+            states.push_back({item->socket, POLLRDHUP, 0});
+        }
+        if (states.empty() || ::poll(states.data(), states.size(), 0) <= 0) {
+            return;
+        }
+        for (std::size_t i = 0; i < states.size(); ++i) {
+            if ((states[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+                continue;
+            }
+            // An exchange that went on since then is not suspended any more; its socket's number may be
+            // another connection's by now.
+            const std::lock_guard lock(waiting[i]->mutex);
+            if (waiting[i]->suspended && !waiting[i]->gone) {
+                waiting[i]->aborted = true;
+                resume_locked(*waiting[i]);
             }
         }
     }
@@ -425,6 +524,11 @@
     implementation_->stop();
 }
 
+std::size_t http_server::buffered() const
+{
+    return implementation_->buffered();
+}
+
 std::uint16_t http_server::port() const
 {
     return implementation_->port();
--- a/adapters/http_server.h
+++ b/adapters/http_server.h
@@ -20,6 +20,12 @@
 /// Why a request was not received whole.
 enum class receive_fault : std::uint8_t { none, too_large, too_slow };
 
+/// The answer to a request that was not received whole, where it is given without the owner.
+struct fault_answer {
+    std::uint16_t status{0};
+    std::string body; ///< JSON.
+};
+
 /// A received request. Header names are in lower case.
 struct http_request {
     exchange_id exchange{0};
@@ -34,6 +40,7 @@
     std::string_view header(std::string_view name) const;
 };
 
+/// Settings of an `http_server`.
 struct http_server_options {
     std::string address{"127.0.0.1"};
     std::uint16_t port{0}; ///< 0 takes a free one; see `http_server::port()`.
@@ -43,6 +50,9 @@
     unsigned int threads{1};
     std::string tls_certificate_pem; ///< Empty: plain text.
     std::string tls_key_pem;
+    /// Answers senders that are cut off: those that stall and those whose body goes on far past the limit.
+    /// Without it, and over TLS, their connection is closed without an answer.
+    std::function<fault_answer(receive_fault)> answer_fault;
 };
 
 /// Called on the server's threads; must not block.
@@ -66,6 +76,8 @@
     /// Closes the listening socket, ends every exchange and joins the threads.
     void stop();
     std::uint16_t port() const;
+    /// Memory that all exchanges' unsent answers take, in bytes.
+    std::size_t buffered() const;
 
     using headers = std::vector<std::pair<std::string, std::string>>;
     void answer(exchange_id exchange, std::uint16_t status, const headers& fields, std::string body);
--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -26,6 +26,8 @@
                       "The request was not received in time."},
     result_code_entry{result_code::bad_header, "bad_header", 400,
                       "A header has a value that is not allowed."},
+    result_code_entry{result_code::method_not_allowed, "method_not_allowed", 405,
+                      "The path does not take this method."},
     result_code_entry{result_code::rate_limited, "rate_limited", 429,
                       "The workspace exceeded its rate limit."},
     result_code_entry{result_code::overloaded, "overloaded", 503,
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -22,6 +22,7 @@
     not_found = 107,
     sender_too_slow = 108,
     bad_header = 109,
+    method_not_allowed = 110,
     rate_limited = 200,
     overloaded = 201,
     deadline_expired = 202,
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,6 +1,7 @@
 #include "request/entry_core.h"
 
 #include "core/digest.h"
+#include "request/model_list.h"
 
 #include <algorithm>
 #include <utility>
@@ -53,6 +54,10 @@
         actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
         return;
     }
+    if (event.path == models_path) {
+        actions_.emplace_back(model_list_answer(event.caller, upstreams_, new_request_id()));
+        return;
+    }
     const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
     const auto request = admit(event, *class_of(event), owner);
     record(*request, "request.admitted", "", "class " + request->rules.name);
@@ -79,6 +84,12 @@
     if (configuration_->find_workspace_by_key(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
     }
+    if (!input.bad_header.empty()) {
+        return failure_notice{result_code::bad_header, ran_state::no, duration::zero(), input.bad_header};
+    }
+    if (input.path == models_path) {
+        return std::nullopt;
+    }
     if (input.malformed) {
         return failure_notice{result_code::malformed_body, ran_state::no, duration::zero(), ""};
     }
@@ -86,6 +97,9 @@
     if (rules == nullptr) {
         return failure_notice{result_code::unknown_class, ran_state::no, duration::zero(), ""};
     }
+    if (!input.model.empty() && !is_known_model(input.model, *configuration_, upstreams_)) {
+        return failure_notice{result_code::unknown_model, ran_state::no, duration::zero(), ""};
+    }
     if (rules->key_required && input.idempotency_key.empty()) {
         return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
     }
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -36,7 +36,8 @@
     std::optional<duration> deadline; ///< From the deadline header.
     std::string model;                ///< The body's model, or the service of the path.
     bool stream{false};
-    bool malformed{false}; ///< The body is not JSON where the path requires it.
+    bool malformed{false};  ///< The body is not JSON where the path requires it.
+    std::string bad_header; ///< What a header with an invalid value may be; empty when all are valid.
     std::string body;
     std::uint32_t prompt_tokens{0};
     std::vector<std::uint64_t> prefix_hashes;
