Time line in causal order, command line by one table, status, drain, record, metrics by one table

Cause: an operator could not ask why a request was late or refused, see a deployment, or settle an unknown outcome; metrics looked their series up by label maps on each request. The test of an entry without a configuration expected one action; a refusal at admission is now also recorded, so it expects the answer and exactly that record, which is stricter.

--- a/adapters/peer_client.cpp
+++ b/adapters/peer_client.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_client.h"
 
 #include "adapters/peer_codec.h"
+#include "adapters/peer_stamp.h"
 #include "adapters/proto/peer.grpc.pb.h"
 #include "adapters/write_queue.h"
 
@@ -48,8 +49,9 @@
 
 class peer_client::implementation {
 public:
-    implementation(entry_event_sink sink, peer_credentials credentials)
-        : sink_(std::move(sink)), credentials_(std::move(credentials)), thread_([this] { keep_open(); })
+    implementation(entry_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+        : sink_(std::move(sink)), credentials_(std::move(credentials)), clock_(clock),
+          thread_([this] { keep_open(); })
     {
     }
     implementation(const implementation&) = delete;
@@ -150,6 +152,7 @@
                 end();
                 return;
             }
+            witness(incoming_, owner_.clock_);
             for (const auto& message : incoming_.messages()) {
                 auto decoded = decode(message);
                 if (decoded && !owner_.sink_(upstream_said{vm_, std::move(*decoded)})) {
@@ -174,6 +177,7 @@
         void write_next()
         {
             if (auto* frame = queue_.begin_write()) {
+                stamp(*frame, owner_.clock_);
                 StartWrite(frame);
             }
         }
@@ -251,6 +255,7 @@
 
     entry_event_sink sink_;
     peer_credentials credentials_;
+    hybrid_clock& clock_;
     std::mutex mutex_;
     std::condition_variable wakeup_;
     std::map<std::string, peer> peers_;
@@ -259,8 +264,8 @@
     std::thread thread_;
 };
 
-peer_client::peer_client(entry_event_sink sink, peer_credentials credentials)
-    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials)))
+peer_client::peer_client(entry_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials), clock))
 {
 }
 
--- a/adapters/peer_client.h
+++ b/adapters/peer_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/peer_credentials.h"
+#include "observability/hybrid_clock.h"
 #include "ports/peer_port.h"
 
 #include <memory>
@@ -11,7 +12,8 @@
 /// when lost.
 class peer_client : public upstream_link {
 public:
-    peer_client(entry_event_sink sink, peer_credentials credentials);
+    /// `clock` stamps the frames that are sent and is moved past those that are received.
+    peer_client(entry_event_sink sink, peer_credentials credentials, hybrid_clock& clock);
     peer_client(const peer_client&) = delete;
     peer_client& operator=(const peer_client&) = delete;
     ~peer_client() override;
--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_server.h"
 
 #include "adapters/peer_codec.h"
+#include "adapters/peer_stamp.h"
 #include "adapters/proto/peer.grpc.pb.h"
 #include "adapters/write_queue.h"
 
@@ -29,8 +30,8 @@
 
 class peer_server::implementation final : public wire::peer::CallbackService {
 public:
-    implementation(upstream_event_sink sink, peer_credentials credentials)
-        : sink_(std::move(sink)), credentials_(std::move(credentials))
+    implementation(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+        : sink_(std::move(sink)), credentials_(std::move(credentials)), clock_(clock)
     {
     }
 
@@ -122,6 +123,7 @@
                 finish();
                 return;
             }
+            witness(incoming_, owner_.clock_);
             for (const auto& message : incoming_.messages()) {
                 auto decoded = decode(message);
                 // A full ring ends the session: both sides then take the entry as lost, and nothing is
@@ -152,6 +154,7 @@
         void write_next()
         {
             if (auto* frame = queue_.begin_write()) {
+                stamp(*frame, owner_.clock_);
                 StartWrite(frame);
             }
         }
@@ -195,6 +198,7 @@
 
     upstream_event_sink sink_;
     peer_credentials credentials_;
+    hybrid_clock& clock_;
     std::unique_ptr<grpc::Server> server_;
     int port_{0};
     std::mutex mutex_;
@@ -202,8 +206,8 @@
     session_id last_id_{0};
 };
 
-peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials)
-    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials)))
+peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials), clock))
 {
 }
 
--- a/adapters/peer_server.h
+++ b/adapters/peer_server.h
@@ -2,6 +2,7 @@
 
 #include "adapters/peer_credentials.h"
 #include "core/outcome.h"
+#include "observability/hybrid_clock.h"
 #include "ports/peer_port.h"
 
 #include <memory>
@@ -12,7 +13,8 @@
 /// The upstream daemon's end of the peer protocol, over gRPC.
 class peer_server : public entry_link {
 public:
-    peer_server(upstream_event_sink sink, peer_credentials credentials);
+    /// `clock` stamps the frames that are sent and is moved past those that are received.
+    peer_server(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock);
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
     ~peer_server() override;
--- a/adapters/platform_client.cpp
+++ b/adapters/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "adapters/platform_client.h"
 
+#include "adapters/runtime.h"
+
 #include <memory>
 #include <utility>
 
@@ -85,7 +87,12 @@
     auto received = std::make_shared<std::string>();
     http_call_events events;
     events.on_bytes = [received](std::string_view bytes) { received->append(bytes); };
-    events.on_end = [received, done = std::move(done)](const http_end& end) {
+    events.on_end = [this, received, path, began = process_now(),
+                     done = std::move(done)](const http_end& end) {
+        if (observer_) {
+            const bool answered = end.kind == http_end_kind::complete && end.status != http_unavailable;
+            observer_(std::string_view(path).substr(path.rfind('/') + 1), process_now() - began, answered);
+        }
         done({end, json::parse(*received, nullptr, false)});
     };
     client_.start(std::move(call), std::move(events));
@@ -160,7 +167,7 @@
         for (const auto& item : answer.body["vms"]) {
             vms.push_back({item.value("name", ""), item.value("role", ""), item.value("zone", ""),
                            item.value("region", ""), item.value("address", ""),
-                           item.value("state", "") == "leaving"});
+                           item.value("state", "") == "leaving", item.value("admin", "")});
         }
         done(std::move(vms));
     });
--- a/adapters/platform_client.h
+++ b/adapters/platform_client.h
@@ -14,6 +14,10 @@
     /// `base_url` such as "http://127.0.0.1:7000"; a call that takes longer than `timeout` counts as lost.
     platform_client(std::string base_url, duration timeout);
 
+    /// Called after each call with its operation, its time and whether the platform answered; set before use.
+    using call_observer = std::function<void(std::string_view operation, duration span, bool answered)>;
+    void on_call(call_observer observer) { observer_ = std::move(observer); }
+
     void transact(std::vector<table_operation> operations,
                   std::function<void(transaction_result)> done) override;
     void read(const std::string& table, const std::string& key,
@@ -32,6 +36,7 @@
 
     std::string base_url_;
     duration timeout_;
+    call_observer observer_;
     http_client client_;
 };
 
--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -1,59 +1,218 @@
 #include "main/command_line.h"
 
-#include "core/result_code.h"
+#include "main/command_codes.h"
+#include "main/command_completion.h"
 #include "main/command_config.h"
+#include "main/command_drain.h"
+#include "main/command_manual.h"
+#include "main/command_record.h"
+#include "main/command_status.h"
+#include "main/command_timeline.h"
 
+#include <algorithm>
 #include <cstdio>
-#include <functional>
-#include <map>
 
 namespace clementinegap {
 namespace {
 
-using command_function = std::function<exit_code(const std::vector<std::string>&)>;
+constexpr option_spec json_option{"json", "", "print JSON instead of a table"};
+constexpr option_spec platform_option{"platform", "URL", "the platform, whose VM list names the daemons"};
+constexpr option_spec admin_option{"admin", "URL", "admin address of one daemon; may be given many times"};
 
-exit_code show_codes(const std::vector<std::string>& /*words*/)
+/// Adapts a command that takes its words as they are.
+std::function<exit_code(const parsed_words&)>
+on_words(exit_code (*run)(const std::vector<std::string>& words))
 {
-    for (const auto& entry : result_codes()) {
-        std::printf("%4d  %3d  %-22s %s\n", static_cast<int>(entry.code), entry.http_status,
-                    std::string(entry.name).c_str(), std::string(entry.text).c_str());
-    }
-    return exit_code::ok;
+    return [run](const parsed_words& words) { return run(words.positionals()); };
 }
 
-const std::map<std::string, command_function>& commands()
+std::vector<command> make_commands()
 {
-    static const std::map<std::string, command_function> table{
-        {"codes", show_codes},
-        {"config", config_command},
-        {"questionnaire", questionnaire_command},
+    return {
+        {"codes",
+         "",
+         "list the numbered result codes",
+         "Prints number, HTTP status, name and meaning of each result code, as callers see them.",
+         "clementinegap codes\nclementinegap codes --json",
+         {json_option},
+         codes_command},
+        {"completion",
+         "bash",
+         "print the shell's completion script",
+         "Prints a script that completes subcommands and options.",
+         "clementinegap completion bash > /etc/bash_completion.d/clementinegap",
+         {},
+         completion_command},
+        {"config",
+         "generate|submit|show ...",
+         "generate, submit and show configurations",
+         "Generates the configuration from questionnaires, submits it to the platform, or shows what is in "
+         "force.",
+         "clementinegap config generate lanyu.questionnaire.json\n"
+         "clementinegap config submit http://10.0.0.2:7000 lanyu.questionnaire.json",
+         {},
+         on_words(config_command)},
+        {"drain",
+         "VM",
+         "stop one daemon gracefully",
+         "Asks the daemon of a VM to take nothing new, to finish what it has and to exit. Prints when the "
+         "order is "
+         "accepted; follow it with status.",
+         "clementinegap drain upstream-3 --platform http://10.0.0.2:7000",
+         {platform_option, admin_option, json_option},
+         drain_command},
+        {"manual",
+         "COMMAND|codes-page",
+         "print a manual page",
+         "Prints the manual page of a command in the man macros, or the page of result codes.",
+         "clementinegap manual status | man -l -",
+         {},
+         manual_command},
+        {"questionnaire",
+         "check FILE",
+         "check a questionnaire",
+         "Checks a team's questionnaire and names every field that is wrong.",
+         "clementinegap questionnaire check lanyu.questionnaire.json",
+         {},
+         on_words(questionnaire_command)},
+        {"record",
+         "show|resolve WORKSPACE KEY",
+         "show or settle the run record of a never-repeat request",
+         "A never-repeat request with an idempotency key has one run record. A record that stays \"started\" "
+         "after "
+         "its upstream was lost has an unknown outcome: resends get 409 until an operator finds out what "
+         "happened "
+         "and settles it. \"ran\" keeps the key used for ever; \"not-run\" removes the record, so that a "
+         "resend "
+         "runs. The change is made only if the record is still the one that was read.",
+         "clementinegap record show shop order-a17 --platform http://10.0.0.2:7000\n"
+         "clementinegap record resolve shop order-a17 --as ran --platform http://10.0.0.2:7000",
+         {platform_option, {"as", "ran|not-run", "how to settle an unknown outcome"}, json_option},
+         record_command},
+        {"status",
+         "",
+         "the whole deployment at a glance",
+         "Reads every daemon and shows VMs, zones, configuration versions, classes against their targets, "
+         "queues, "
+         "and slowed, quarantined or leaving things.",
+         "clementinegap status --platform http://10.0.0.2:7000\nclementinegap status --admin "
+         "http://10.0.0.11:9000 "
+         "--json",
+         {platform_option, admin_option, json_option},
+         status_command},
+        {"timeline",
+         "",
+         "events of all processes in one causal order",
+         "Merges the event rings of all daemons by hybrid logical time. With --explain it tells in words why "
+         "one "
+         "request was late, was refused, or ran where it did.",
+         "clementinegap timeline --platform http://10.0.0.2:7000 --request 00ab34 --explain\n"
+         "clementinegap timeline --platform http://10.0.0.2:7000 --class cutting_guide --format trace > "
+         "t.json",
+         {platform_option,
+          admin_option,
+          {"request", "ID", "only this request"},
+          {"class", "NAME", "only this class"},
+          {"workspace", "NAME", "only this workspace"},
+          {"upstream", "VM", "only this upstream"},
+          {"from", "US", "not before this wall time, in microseconds since 1970"},
+          {"to", "US", "not after this wall time, in microseconds since 1970"},
+          {"format", "text|json|trace", "lines of text, JSON lines, or trace-event JSON"},
+          {"explain", "", "tell in words what became of --request"},
+          json_option},
+         timeline_command},
+        {"version",
+         "",
+         "print the version",
+         "Prints the version of this program.",
+         "clementinegap version",
+         {json_option},
+         version_command},
     };
+}
+
+const command* find_command(std::string_view name)
+{
+    const auto found = std::ranges::find(commands(), name, &command::name);
+    return found == commands().end() ? nullptr : &*found;
+}
+
+exit_code show_help(const std::vector<std::string>& words)
+{
+    const auto* about = words.size() > 1 ? find_command(words[1]) : nullptr;
+    std::fputs(about == nullptr ? overview_text().c_str() : help_text(*about).c_str(), stdout);
+    return exit_code::ok;
+}
+
+std::string padded(std::string text, std::size_t width)
+{
+    text.resize(std::max(width, text.size() + 1), ' ');
+    return text;
+}
+
+} // namespace
+
+std::span<const command> commands()
+{
+    static const std::vector<command> table = make_commands();
     return table;
 }
 
-void show_usage()
+std::string help_text(const command& about)
 {
-    std::fprintf(stderr, "usage: clementinegap COMMAND ...\ncommands:\n");
-    for (const auto& [name, run] : commands()) {
-        std::fprintf(stderr, "  %s\n", name.c_str());
+    constexpr std::size_t option_width = 28;
+    std::string text = "usage: clementinegap " + std::string(about.name) + " [OPTION...] " +
+                       std::string(about.arguments) + "\n\n" + std::string(about.description) +
+                       "\n\noptions:\n";
+    for (const auto& option : about.options) {
+        const auto argument = option.argument.empty() ? "" : " " + std::string(option.argument);
+        text += "  " + padded("--" + std::string(option.name) + argument, option_width) +
+                std::string(option.help) + "\n";
+    }
+    text += "  " + padded("--help", option_width) + "show this help\n\nexamples:\n  ";
+    for (const char letter : about.examples) {
+        text += letter == '\n' ? "\n  " : std::string(1, letter);
     }
+    return text + "\n";
 }
 
-} // namespace
+std::string overview_text()
+{
+    constexpr std::size_t name_width = 16;
+    std::string text = "usage: clementinegap COMMAND [OPTION...] ...\n\ncommands:\n";
+    for (const auto& item : commands()) {
+        text += "  " + padded(std::string(item.name), name_width) + std::string(item.summary) + "\n";
+    }
+    return text +
+           "\nclementinegap help COMMAND shows options and examples. Exit codes: 0 done, 1 refused, 2 usage, "
+           "3 unreachable, 4 unknown.\n";
+}
 
 exit_code run_command(const std::vector<std::string>& words)
 {
     if (words.empty()) {
-        show_usage();
+        std::fputs(overview_text().c_str(), stderr);
         return exit_code::usage;
     }
-    const auto found = commands().find(words.front());
-    if (found == commands().end()) {
-        std::fprintf(stderr, "clementinegap: unknown command \"%s\"\n", words.front().c_str());
-        show_usage();
+    if (words[0] == "help" || words[0] == "--help") {
+        return show_help(words);
+    }
+    if (words[0] == "--version") {
+        return version_command({});
+    }
+    const auto* found = find_command(words[0]);
+    if (found == nullptr) {
+        std::fprintf(stderr, "clementinegap: unknown command \"%s\"\n%s", words[0].c_str(),
+                     overview_text().c_str());
         return exit_code::usage;
     }
-    return found->second({words.begin() + 1, words.end()});
+    const std::vector<std::string> rest(words.begin() + 1, words.end());
+    if (std::ranges::find(rest, "--help") != rest.end()) {
+        std::fputs(help_text(*found).c_str(), stdout);
+        return exit_code::ok;
+    }
+    const auto parsed = parse_words(found->name, found->options, rest);
+    return parsed ? found->run(*parsed) : exit_code::usage;
 }
 
 } // namespace clementinegap
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr std::uint16_t http_ok = 200;
+constexpr std::uint16_t http_accepted = 202;
 constexpr std::uint16_t http_not_found = 404;
+constexpr std::uint16_t http_conflict = 409;
 constexpr std::uint16_t http_unavailable = 503;
 constexpr int exit_ok = 0;
 constexpr int exit_cannot_start = 3;
@@ -18,15 +20,8 @@
 daemon_base::daemon_base(settings values)
     : settings_(std::move(values)), events_(settings_.vm, settings_.timeline_capacity),
       platform_(std::make_unique<platform_client>(settings_.platform_url, settings_.platform_timeout)),
-      runtime_(
-          [this] {
-              if (draining_.exchange(true)) {
-                  return;
-              }
-              log_info("drain.started", "stop requested");
-              begin_drain();
-          },
-          [] { log_info("reload.requested", "keys are read again at the next connection"); })
+      runtime_([this] { begin_stop("signal"); },
+               [] { log_info("reload.requested", "keys are read again at the next connection"); })
 {
 }
 
@@ -37,6 +32,9 @@
 
 int daemon_base::run()
 {
+    platform_->on_call([this](std::string_view operation, duration span, bool answered) {
+        metrics_.store_called(operation, std::chrono::duration<double>(span).count(), answered);
+    });
     auto started = start_admin();
     if (started) {
         started = start();
@@ -58,6 +56,16 @@
     return code;
 }
 
+void daemon_base::begin_stop(std::string_view reason)
+{
+    if (draining_.exchange(true)) {
+        return;
+    }
+    log_info("drain.started", reason);
+    metrics_.set("clementinegap_draining", 1);
+    begin_drain();
+}
+
 void daemon_base::drain_finished()
 {
     log_info("drain.finished", "");
@@ -109,7 +117,11 @@
                       is_ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      metrics_.text());
+                      metrics_text());
+    } else if (request.path == "/status") {
+        admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/json"}}, status().dump());
+    } else if (request.path == "/drain" && request.method == "POST") {
+        on_drain(request);
     } else if (request.path == "/timeline") {
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/x-ndjson"}},
                       events_.json_lines(request.query["request"]));
@@ -118,6 +130,56 @@
     }
 }
 
+void daemon_base::on_drain(const http_request& request)
+{
+    const http_server::headers text{{"Content-Type", "text/plain; charset=utf-8"}};
+    const auto wanted = request.query.find("vm");
+    if (wanted == request.query.end() || wanted->second != settings_.vm) {
+        admin_.answer(request.exchange, http_conflict, text, "this is VM " + settings_.vm + "\n");
+        return;
+    }
+    admin_.answer(request.exchange, http_accepted, text, "draining\n");
+    begin_stop("order of an operator");
+}
+
+void daemon_base::publish_status(json role_part)
+{
+    const std::lock_guard lock(status_mutex_);
+    role_status_ = std::move(role_part);
+}
+
+json daemon_base::status() const
+{
+    json classes = json::array();
+    for (const auto& item : metrics_.totals()) {
+        classes.push_back({{"name", item.name},
+                           {"ended", item.ended},
+                           {"ok", item.ok},
+                           {"target_met", item.target_met},
+                           {"tokens", item.tokens}});
+    }
+    const std::lock_guard lock(status_mutex_);
+    return {{"vm", settings_.vm},
+            {"role", settings_.role == daemon_role::entry ? "entry" : "upstream"},
+            {"zone", settings_.zone},
+            {"region", settings_.region},
+            {"program_version", CG_VERSION},
+            {"configuration_version", version_.load()},
+            {"ready", ready() && !draining_},
+            {"draining", draining_.load()},
+            {"uptime_s", std::chrono::duration_cast<seconds>(process_now() - started_at_).count()},
+            {"timeline_dropped", events_.dropped()},
+            {"classes", classes},
+            {"role_part", role_status_}};
+}
+
+std::string daemon_base::metrics_text()
+{
+    metrics_.set("clementinegap_timeline_dropped", static_cast<double>(events_.dropped()));
+    metrics_.set("clementinegap_configuration_version", static_cast<double>(version_.load()));
+    return metrics_.text();
+}
+
 void daemon_base::poll_platform()
 {
     std::unique_lock lock(poll_mutex_);
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -42,8 +42,12 @@
 
     void apply(const emit_record& action, time_point now);
     void drain_finished();
+    /// Sets the role's part of the answer to /status; from the decision thread.
+    void publish_status(json role_part);
     /// Spreads soft state among the daemons.
     void publish(const soft_item& item);
+    static constexpr duration status_interval = milliseconds(500);
+
     outcome<peer_credentials> load_peer_credentials() const;
 
     const settings settings_;
@@ -54,6 +58,10 @@
 private:
     outcome<void> start_admin();
     void on_admin(http_request request);
+    void on_drain(const http_request& request);
+    json status() const;
+    std::string metrics_text();
+    void begin_stop(std::string_view reason);
     void poll_platform();
     void read_configuration(const read_result& result);
     void stop_polling();
@@ -66,6 +74,9 @@
     std::thread poll_thread_;
     std::atomic<std::uint64_t> version_{0};
     std::atomic<bool> draining_{false};
+    const time_point started_at_{process_now()};
+    mutable std::mutex status_mutex_;
+    json role_status_;
 };
 
 } // namespace clementinegap
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -41,11 +41,12 @@
 outcome<void> entry_daemon::start()
 {
     BOOST_OUTCOME_TRY(credentials, load_peer_credentials());
-    peers_ = std::make_unique<peer_client>(
-        [this](entry_event event) { return decisions_.post(std::move(event)); }, std::move(credentials));
+    peers_ =
+        std::make_unique<peer_client>([this](entry_event event) { return decisions_.post(std::move(event)); },
+                                      std::move(credentials), events_.clock());
     decisions_.on_idle([this](const entry_core& core) {
         ready_ = core.ready();
-        metrics_.set("clementinegap_requests_open", static_cast<double>(core.request_count()));
+        observe(core);
     });
     decisions_.start();
     http_server_options options;
@@ -92,6 +93,38 @@
     peers_->connect_to(upstreams);
 }
 
+void entry_daemon::observe(const entry_core& core)
+{
+    metrics_.set("clementinegap_requests_open", static_cast<double>(core.request_count()));
+    metrics_.set("clementinegap_ring_refused", static_cast<double>(decisions_.refused()));
+    const auto now = process_now();
+    if (now < observed_at_ + status_interval) {
+        return;
+    }
+    observed_at_ = now;
+    json upstreams = json::array();
+    for (const auto& [vm, view] : core.upstreams()) {
+        upstreams.push_back({{"vm", vm},
+                             {"zone", view.zone},
+                             {"connected", view.connected},
+                             {"slots", view.slots},
+                             {"free_slots", view.free_slots},
+                             {"queued", view.queued},
+                             {"expected_wait_ms", to_milliseconds(view.expected_wait)},
+                             {"slowed", view.slowed},
+                             {"leaving", view.leaving}});
+    }
+    json classes = json::array();
+    if (const auto* rules = core.current_configuration()) {
+        for (const auto& item : rules->classes) {
+            classes.push_back({{"name", item.name},
+                               {"tier", item.tier},
+                               {"target_ms", to_milliseconds(item.first_token_target)}});
+        }
+    }
+    publish_status({{"requests_open", core.request_count()}, {"upstreams", upstreams}, {"rules", classes}});
+}
+
 void entry_daemon::perform(const entry_action& action, time_point now)
 {
     std::visit(overloaded{[&](const send_to_upstream& value) { peers_->send(value.vm, value.message); },
@@ -105,8 +138,19 @@
 
 void entry_daemon::measure(const request_measured& action)
 {
-    metrics_.request_ended(action.class_name, describe(action.code).name, action.target_met,
-                           in_seconds(action.first_token), in_seconds(action.total), action.tokens);
+    measured_request request;
+    request.class_name = action.class_name;
+    request.code = describe(action.code).name;
+    request.tier = action.tier;
+    request.ok = action.code == result_code::ok;
+    request.target_met = action.target_met;
+    request.queue_wait = in_seconds(action.queue_wait);
+    request.first_token = in_seconds(action.first_token);
+    request.total = in_seconds(action.total);
+    request.tokens = action.tokens;
+    request.wasted_tokens = action.wasted_tokens;
+    request.dispatches = action.dispatches;
+    metrics_.request_ended(request);
 }
 
 } // namespace clementinegap
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -31,11 +31,14 @@
 
     void perform(const entry_action& action, time_point now);
     void measure(const request_measured& action);
+    /// Publishes gauges after each batch, and the status at most every `status_interval`.
+    void observe(const entry_core& core);
 
     thread decisions_;
     caller_gateway callers_;
     std::unique_ptr<peer_client> peers_;
     std::atomic<bool> ready_{false};
+    time_point observed_at_{};
 };
 
 } // namespace clementinegap
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -41,11 +41,11 @@
 {
     BOOST_OUTCOME_TRY(credentials, load_peer_credentials());
     peers_ = std::make_unique<peer_server>(
-        [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials));
+        [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials),
+        events_.clock());
     decisions_.on_idle([this](const upstream_core& core) {
         ready_ = core.ready();
-        metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
-        metrics_.set("clementinegap_busy_slots", core.busy_slots());
+        observe(core);
     });
     decisions_.start();
     return peers_->start(settings_.peer_address);
@@ -74,6 +74,22 @@
     // Entries connect to upstream daemons, not the other way round.
 }
 
+void upstream_daemon::observe(const upstream_core& core)
+{
+    metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
+    metrics_.set("clementinegap_busy_slots", core.busy_slots());
+    metrics_.set("clementinegap_ring_refused", static_cast<double>(decisions_.refused()));
+    const auto now = process_now();
+    if (now < observed_at_ + status_interval) {
+        return;
+    }
+    observed_at_ = now;
+    publish_status({{"queued", core.queued()},
+                    {"busy_slots", core.busy_slots()},
+                    {"slots", settings_.slots},
+                    {"models", settings_.models}});
+}
+
 void upstream_daemon::perform(const upstream_action& action, time_point now)
 {
     std::visit(overloaded{[&](const send_to_entry& value) { peers_->send(value.session, value.message); },
--- a/main/upstream_daemon.h
+++ b/main/upstream_daemon.h
@@ -31,12 +31,15 @@
     using thread = decision_thread<upstream_core, upstream_event, upstream_action>;
 
     void perform(const upstream_action& action, time_point now);
+    /// Publishes gauges after each batch, and the status at most every `status_interval`.
+    void observe(const upstream_core& core);
 
     thread decisions_;
     run_store runs_;
     engine_gateway engine_;
     std::unique_ptr<peer_server> peers_;
     std::atomic<bool> ready_{false};
+    time_point observed_at_{};
 };
 
 } // namespace clementinegap
--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -23,7 +23,10 @@
 done
 vms=
 for i in 1 2 3 4; do
-    vms="$vms{\"name\":\"upstream-$i\",\"role\":\"upstream\",\"zone\":\"zone-$(((i - 1) % 3 + 1))\",\"region\":\"central\",\"address\":\"127.0.0.1:$((base + 20 + i))\",\"state\":\"live\"},"
+    vms="$vms{\"name\":\"upstream-$i\",\"role\":\"upstream\",\"zone\":\"zone-$(((i - 1) % 3 + 1))\",\"region\":\"central\",\"address\":\"127.0.0.1:$((base + 20 + i))\",\"admin\":\"127.0.0.1:$((base + 30 + i))\",\"state\":\"live\"},"
+done
+for i in 1 2; do
+    vms="$vms{\"name\":\"entry-$i\",\"role\":\"entry\",\"zone\":\"zone-$i\",\"region\":\"central\",\"admin\":\"127.0.0.1:$((base + 50 + i))\",\"state\":\"live\"},"
 done
 curl -fsS -o /dev/null -X POST "$platform_url/control/vms" -d "{\"vms\":[${vms%,}]}"
 "$bin/clementinegap" questionnaire check examples/lanyu.questionnaire.json
--- a/observability/event_log.cpp
+++ b/observability/event_log.cpp
@@ -6,44 +6,57 @@
 
 namespace clementinegap {
 
-void event_log::add(event_record record, time_point now)
+event_log::event_log(std::string vm, std::size_t capacity)
+    : vm_(std::move(vm)), capacity_(std::max<std::size_t>(1, capacity))
+{
+}
+
+void event_log::add(const event_record& record, time_point now)
 {
     const std::lock_guard lock(mutex_);
-    const auto wall = now.time_since_epoch().count();
-    last_ = wall > last_.wall ? hybrid_time{wall, 0} : hybrid_time{last_.wall, last_.counter + 1};
-    events_.push_back({last_, ++sequence_, std::move(record)});
-    if (events_.size() > capacity_) {
-        events_.pop_front();
-        ++dropped_;
+    const auto at = clock_.next(now);
+    const auto slot = static_cast<std::size_t>(sequence_ % capacity_);
+    ++sequence_;
+    if (slot == events_.size()) {
+        events_.push_back({at, sequence_, record});
+        return;
     }
+    events_[slot].at = at;
+    events_[slot].sequence = sequence_;
+    events_[slot].record = record;
 }
 
-void event_log::witness(hybrid_time seen)
+std::uint64_t event_log::dropped() const
 {
     const std::lock_guard lock(mutex_);
-    last_ = std::max(last_, seen);
+    return sequence_ - events_.size();
 }
 
-hybrid_time event_log::latest() const
+std::size_t event_log::size() const
 {
     const std::lock_guard lock(mutex_);
-    return last_;
+    return events_.size();
 }
 
-std::uint64_t event_log::dropped() const
+std::vector<stamped_event> event_log::copy(const std::string& request_id) const
 {
     const std::lock_guard lock(mutex_);
-    return dropped_;
+    std::vector<stamped_event> result;
+    const auto first = sequence_ - events_.size();
+    for (std::uint64_t number = first; number < sequence_; ++number) {
+        const auto& event = events_[static_cast<std::size_t>(number % capacity_)];
+        if (request_id.empty() || event.record.request_id == request_id) {
+            result.push_back(event);
+        }
+    }
+    return result;
 }
 
 std::string event_log::json_lines(const std::string& request_id) const
 {
-    const std::lock_guard lock(mutex_);
+    // The text is made outside the lock, so that a reader does not hold up the decision thread.
     std::string text;
-    for (const auto& event : events_) {
-        if (!request_id.empty() && event.record.request_id != request_id) {
-            continue;
-        }
+    for (const auto& event : copy(request_id)) {
         const nlohmann::json line{{"wall_us", event.at.wall},          {"counter", event.at.counter},
                                   {"sequence", event.sequence},        {"vm", vm_},
                                   {"kind", event.record.kind},         {"request", event.record.request_id},
--- a/observability/event_log.h
+++ b/observability/event_log.h
@@ -2,50 +2,46 @@
 
 #include "core/event_record.h"
 #include "core/time.h"
+#include "observability/hybrid_clock.h"
 
 #include <cstdint>
-#include <deque>
 #include <mutex>
 #include <string>
 #include <vector>
 
 namespace clementinegap {
 
-/// A hybrid logical time: wall microseconds and a counter that orders events of one microsecond and of cause
-/// and effect.
-struct hybrid_time {
-    std::int64_t wall{0};
-    std::uint32_t counter{0};
-    auto operator<=>(const hybrid_time&) const = default;
-};
-
 struct stamped_event {
     hybrid_time at;
     std::uint64_t sequence{0};
     event_record record;
 };
 
-/// The bounded ring of a process's events; the oldest give way and are counted.
+/// The bounded ring of a process's events; the oldest give way and are counted. Adding copies into the slot
+/// of the event that gives way, so that its strings' memory is used again and the decision thread allocates
+/// nothing; text is made only when the ring is read.
 class event_log {
 public:
-    event_log(std::string vm, std::size_t capacity) : vm_(std::move(vm)), capacity_(capacity) {}
+    event_log(std::string vm, std::size_t capacity);
 
-    void add(event_record record, time_point now);
-    /// Moves the logical time past one that was seen on a message of another process.
-    void witness(hybrid_time seen);
-    hybrid_time latest() const;
+    void add(const event_record& record, time_point now);
+    /// The clock that stamps events and messages between processes.
+    hybrid_clock& clock() { return clock_; }
     /// The events as JSON lines, oldest first; only those of `request_id` unless it is empty.
     std::string json_lines(const std::string& request_id) const;
+    /// Events that gave way to newer ones.
     std::uint64_t dropped() const;
+    std::size_t size() const;
 
 private:
+    std::vector<stamped_event> copy(const std::string& request_id) const;
+
     mutable std::mutex mutex_;
     std::string vm_;
     std::size_t capacity_;
-    hybrid_time last_;
-    std::uint64_t sequence_{0};
-    std::uint64_t dropped_{0};
-    std::deque<stamped_event> events_;
+    hybrid_clock clock_;
+    std::uint64_t sequence_{0}; ///< Of the newest event; its slot is `(sequence_ - 1) % capacity_`.
+    std::vector<stamped_event> events_;
 };
 
 } // namespace clementinegap
--- a/ports/platform_port.h
+++ b/ports/platform_port.h
@@ -22,6 +22,7 @@
     std::string region;
     std::string address; ///< "IP:port" of its peer protocol.
     bool leaving{false};
+    std::string admin; ///< "IP:port" of its admin address; empty when the platform does not list it.
     bool operator==(const listed_vm&) const = default;
 };
 
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,6 +1,7 @@
 #include "request/entry_core.h"
 
 #include "core/digest.h"
+#include "request/decision_reason.h"
 
 #include <algorithm>
 #include <utility>
@@ -50,12 +51,15 @@
 void entry_core::handle(const caller_request& event)
 {
     if (const auto notice = refuse_at_admission(event)) {
-        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        const auto id = new_request_id();
+        actions_.emplace_back(failure_answer(event.caller, *notice, id));
+        actions_.emplace_back(emit_record{{"request.refused_at_admission", id, event.class_name, "", "",
+                                           std::string(describe(notice->code).name)}});
         return;
     }
     const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
     const auto request = admit(event, *class_of(event), owner);
-    record(*request, "request.admitted", "", "class " + request->rules.name);
+    record(*request, "request.admitted", "", admission_reason(*request));
     place(request);
 }
 
@@ -172,7 +176,7 @@
     message.starvation_bound = request->rules.starvation_bound;
     message.prefix_hashes = request->input.prefix_hashes;
     actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
-    record(*request, "request.reserved", view.vm, "");
+    record(*request, "request.reserved", view.vm, reservation_reason(view, settings_.zone));
 }
 
 void entry_core::place_later(const request_ptr& request)
@@ -215,6 +219,7 @@
     request->running = running_attempt{granted.vm, granted.attempt};
     ++request->dispatches;
     request->received = 0;
+    request->first_dispatch_at = std::min(request->first_dispatch_at, now_);
     dispatch_message message;
     message.attempt = granted.attempt;
     message.method = request->input.method;
@@ -314,7 +319,7 @@
     if (request == nullptr) {
         return;
     }
-    record(*request, "request.refused", vm, std::string(describe(message.code).name));
+    record(*request, "request.refused", vm, refusal_reason(message));
     request->last_refusal = message.code;
     request->last_retry_after = message.retry_after;
     if (is_running(*request, message.attempt)) {
@@ -362,7 +367,7 @@
     request->tokens = message.tokens;
     if (request->first_token_at == never) {
         request->first_token_at = now_;
-        record(*request, "request.first_token", vm, "");
+        record(*request, "request.first_token", vm, target_reason(*request));
     }
     deliver(*request, message.bytes);
 }
@@ -461,7 +466,7 @@
         return;
     }
     request->held.clear();
-    request->tokens = 0;
+    request->wasted_tokens += std::exchange(request->tokens, 0);
     place(request);
 }
 
@@ -512,6 +517,10 @@
     measured.first_token = has_token ? request->first_token_at - request->arrived : duration::zero();
     measured.total = now_ - request->arrived;
     measured.tokens = request->tokens;
+    measured.tier = request->rules.tier;
+    measured.queue_wait = std::min(request->first_dispatch_at, now_) - request->arrived;
+    measured.dispatches = request->dispatches;
+    measured.wasted_tokens = request->wasted_tokens + (code == result_code::ok ? 0 : request->tokens);
     measured.target_met =
         code == result_code::ok && has_token && request->first_token_at <= request->target_at;
     actions_.emplace_back(measured);
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -131,6 +131,10 @@
     duration total{0};
     std::uint32_t tokens{0};
     bool target_met{false};
+    int tier{0};
+    duration queue_wait{0}; ///< From arrival to the first dispatch, or to the end without one.
+    std::uint32_t dispatches{0};
+    std::uint32_t wasted_tokens{0}; ///< Received, but not part of a whole answer.
 };
 
 /// Spreads an item among the daemons; the daemon fills in origin, incarnation and sequence.
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -47,6 +47,8 @@
     std::uint64_t received{0}; ///< Bytes of the running attempt's answer.
     std::uint32_t tokens{0};   ///< Tokens received.
     time_point first_token_at{never};
+    time_point first_dispatch_at{never};
+    std::uint32_t wasted_tokens{0}; ///< Received from attempts that were lost.
     result_code last_refusal{result_code::no_upstream};
     duration last_retry_after{0};
     timer_service::timer_id deadline_timer{0};
