--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -4,6 +4,7 @@
 #include "main/command_completion.h"
 #include "main/command_config.h"
 #include "main/command_drain.h"
+#include "main/command_load.h"
 #include "main/command_manual.h"
 #include "main/command_record.h"
 #include "main/command_status.h"
@@ -61,6 +62,13 @@
          "clementinegap drain upstream-3 --platform http://10.0.0.2:7000",
          {platform_option, admin_option, json_option},
          drain_command},
+        {"load",
+         "latency|throughput ...",
+         "measure a deployment under load",
+         "Sends an open-loop load and reports what the path adds, or what arrives.",
+         "clementinegap load latency http://10.0.0.31:8000 http://10.0.0.21:8080 KEY",
+         {},
+         on_words(load_command)},
         {"manual",
          "COMMAND|codes-page",
          "print a manual page",
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -44,6 +44,7 @@
     peers_ =
         std::make_unique<peer_client>([this](entry_event event) { return decisions_.post(std::move(event)); },
                                       std::move(credentials), events_.clock());
+    decisions_.on_batch_end([this] { peers_->flush(); });
     decisions_.on_idle([this](const entry_core& core) {
         ready_ = core.ready();
         observe(core);
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -43,6 +43,7 @@
     peers_ = std::make_unique<peer_server>(
         [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials),
         events_.clock());
+    decisions_.on_batch_end([this] { peers_->flush(); });
     decisions_.on_idle([this](const upstream_core& core) {
         ready_ = core.ready();
         observe(core);
--- a/observability/timeline_explanation.cpp
+++ b/observability/timeline_explanation.cpp
@@ -32,6 +32,9 @@
     phrase{"run.cancelled", "%u cancelled it at the engine"},
     phrase{"run.answered_from_record", "%u answered from the run record"},
     phrase{"grant.lapsed", "the slot that %u held for it lapsed"},
+    phrase{"slot.lent", "%u lent it a slot for one slice"},
+    phrase{"run.set_aside", "%u set it aside for other work"},
+    phrase{"attempt.displaced", "%u gave its place in the queue to work of a higher tier"},
     phrase{"attempt.refused", "%u refused the attempt"},
     phrase{"attempt.ended", "the attempt at %u ended"},
 };
