--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all deps configure demo test format lint clean
+.PHONY: all deps configure demo test slopes format lint clean
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
 
@@ -25,6 +25,9 @@
 format: deps
 	misc/format.sh
 
+slopes: all
+	$(BUILD)/bin/measure_slopes
+
 lint: configure
 	BUILD=$(BUILD) misc/lint.sh
 
