--- a/adapters/overlay_link.cpp
+++ b/adapters/overlay_link.cpp
@@ -1,6 +1,7 @@
 #include "adapters/overlay_link.h"
 
 #include "adapters/overlay_codec.h"
+#include "adapters/peer_identity.h"
 #include "adapters/proto/overlay.grpc.pb.h"
 #include "adapters/write_queue.h"
 
@@ -246,7 +247,7 @@
                 }
                 return;
             }
-            if (address_.empty() && !owner_.introduced(incoming_, address_)) {
+            if (address_.empty() && !owner_.introduced(incoming_, *context_, address_)) {
                 context_->TryCancel();
                 StartRead(&incoming_);
                 return;
@@ -275,11 +276,19 @@
         stream* open{nullptr};
     };
 
-    static bool introduced(const wire::overlay_frame& frame, std::string& address)
+    /// Whether the first frame says who the peer is, and its certificate says the same.
+    bool introduced(const wire::overlay_frame& frame, const grpc::CallbackServerContext& context,
+                    std::string& address) const
     {
         if (frame.messages_size() == 0 || !frame.messages(0).has_hello()) {
             return false;
         }
+        const auto identity = credentials_.plain() ? std::nullopt : identity_of(*context.auth_context());
+        const bool is_proved =
+            credentials_.plain() || (identity && identity->vm == frame.messages(0).hello().vm());
+        if (!is_proved) {
+            return false;
+        }
         address = frame.messages(0).hello().address();
         return !address.empty();
     }
--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -1,6 +1,8 @@
 #include "adapters/peer_server.h"
 
 #include "adapters/peer_codec.h"
+#include "adapters/peer_identity.h"
+#include "adapters/peer_stamp.h"
 #include "adapters/proto/peer.grpc.pb.h"
 #include "adapters/write_queue.h"
 
@@ -30,8 +32,8 @@
 
 class peer_server::implementation final : public wire::peer::CallbackService {
 public:
-    implementation(upstream_event_sink sink, peer_credentials credentials)
-        : sink_(std::move(sink)), credentials_(std::move(credentials))
+    implementation(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+        : sink_(std::move(sink)), credentials_(std::move(credentials)), clock_(clock)
     {
     }
 
@@ -98,12 +100,27 @@
     grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame>*
     session(grpc::CallbackServerContext* context) override
     {
+        const auto identity = credentials_.plain() ? std::optional(peer_identity{"entry", ""})
+                                                   : identity_of(*context->auth_context());
+        if (!identity || identity->role != "entry") {
+            return new refused_session;
+        }
         auto* const opened = new session_reactor(*this, context);
         opened->begin();
         return opened;
     }
 
 private:
+    /// Ends the stream of a peer whose certificate is not that of an entry daemon.
+    class refused_session final : public grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame> {
+    public:
+        refused_session()
+        {
+            Finish({grpc::StatusCode::PERMISSION_DENIED, "the certificate is not an entry daemon's"});
+        }
+        void OnDone() override { delete this; }
+    };
+
     /// One entry daemon's stream; gRPC owns its life and ends it with `OnDone`.
     class session_reactor final : public grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame> {
     public:
@@ -149,6 +166,7 @@
                 finish();
                 return;
             }
+            witness(incoming_, owner_.clock_);
             for (const auto& message : incoming_.messages()) {
                 auto decoded = decode(message);
                 // A full ring ends the session: both sides then take the entry as lost, and nothing is
@@ -179,6 +197,7 @@
         void write_next()
         {
             if (auto* frame = queue_.begin_write()) {
+                stamp(*frame, owner_.clock_);
                 StartWrite(frame);
             }
         }
@@ -223,6 +242,7 @@
     upstream_event_sink sink_;
     peer_credentials credentials_;
     grpc::Service* other_{nullptr};
+    hybrid_clock& clock_;
     std::unique_ptr<grpc::Server> server_;
     int port_{0};
     std::mutex mutex_;
@@ -231,8 +251,8 @@
     session_id last_id_{0};
 };
 
-peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials)
-    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials)))
+peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials), clock))
 {
 }
 
--- a/main/command_config.cpp
+++ b/main/command_config.cpp
@@ -308,25 +308,14 @@
     return exit_code::ok;
 }
 
-/// The platform as the first argument after the subcommand does for `--platform`.
-void take_platform_argument(config_options& options)
-{
-    auto& words = options.arguments;
-    if (options.platform.empty() && words.size() > 1 && words[1].starts_with("http")) {
-        options.platform = words[1];
-        words.erase(words.begin() + 1);
-    }
-}
-
 } // namespace
 
-exit_code config_command(const std::vector<std::string>& words)
+exit_code config_command(const parsed_words& words)
 {
-    auto options = parse_config_options("config", words);
-    if (!options || options->arguments.empty()) {
+    const auto options = config_options_from(words);
+    if (!options) {
         return fail(exit_code::usage, usage);
     }
-    take_platform_argument(*options);
     const auto name = options->arguments.front();
     const std::vector<std::string> files(options->arguments.begin() + 1, options->arguments.end());
     const bool has_platform = !options->platform.empty();
@@ -351,13 +340,13 @@
     return fail(exit_code::usage, usage);
 }
 
-exit_code questionnaire_command(const std::vector<std::string>& words)
+exit_code questionnaire_command(const parsed_words& words)
 {
-    const auto options = parse_config_options("questionnaire", words);
-    const auto& arguments = options ? options->arguments : words;
-    if (!options || arguments.empty()) {
+    const auto options = config_options_from(words);
+    if (!options) {
         return fail(exit_code::usage, usage);
     }
+    const auto& arguments = options->arguments;
     if (arguments[0] == "new") {
         std::printf("%s", std::string(empty_questionnaire()).c_str());
         return exit_code::ok;
--- a/main/config_options.cpp
+++ b/main/config_options.cpp
@@ -1,67 +1,53 @@
 #include "main/config_options.h"
 
-#include <popt.h>
-
-#include <cstdio>
-#include <cstdlib>
-#include <memory>
+#include <charconv>
 
 namespace clementinegap {
 namespace {
 
-std::string take_text(char* text)
+/// False for a value that is there and is not a whole number.
+bool read_number(const parsed_words& words, std::string_view option, std::optional<std::uint64_t>& target)
 {
-    std::string result = text == nullptr ? "" : text;
-    std::free(text);
-    return result;
+    if (!words.has(option)) {
+        return true;
+    }
+    const auto text = words.value(option);
+    std::uint64_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    target = number;
+    return problem == std::errc() && end == text.data() + text.size();
+}
+
+/// The platform as the first argument after the subcommand does for `--platform`.
+void take_platform_argument(config_options& options)
+{
+    auto& words = options.arguments;
+    if (options.platform.empty() && words.size() > 1 && words[1].starts_with("http")) {
+        options.platform = words[1];
+        words.erase(words.begin() + 1);
+    }
 }
 
 } // namespace
 
-std::optional<config_options> parse_config_options(const std::string& command,
-                                                   const std::vector<std::string>& words)
+std::optional<config_options> config_options_from(const parsed_words& words)
 {
-    std::vector<const char*> raw{command.c_str()};
-    for (const auto& word : words) {
-        raw.push_back(word.c_str());
-    }
-    char* platform = nullptr;
-    char* submission = nullptr;
-    long long based_on = -1;
-    long patience_ms = to_milliseconds(config_options{}.patience);
-    int explain = 0;
-    int as_json = 0;
-    const poptOption options[] = {
-        {"platform", 'p', POPT_ARG_STRING, static_cast<void*>(&platform), 0, "the platform's address", "URL"},
-        {"submission", 0, POPT_ARG_STRING, static_cast<void*>(&submission), 0,
-         "show what became of one submission", "ID"},
-        {"based-on", 0, POPT_ARG_LONGLONG, &based_on, 0,
-         "the version with which the answers were read that these were made from", "VERSION"},
-        {"wait-ms", 0, POPT_ARG_LONG, &patience_ms, 0, "how long to wait for the platform", "MS"},
-        {"explain", 'e', POPT_ARG_NONE, &explain, 0, "name the answer behind each value", nullptr},
-        {"json", 'j', POPT_ARG_NONE, &as_json, 0, "print JSON", nullptr},
-        POPT_AUTOHELP POPT_TABLEEND};
-    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-        poptGetContext("clementinegap", static_cast<int>(raw.size()), raw.data(), options, 0),
-        &poptFreeContext);
-    const int problem = poptGetNextOpt(context.get());
     config_options result;
-    result.platform = take_text(platform);
-    result.submission = take_text(submission);
-    if (problem < -1) {
-        std::fprintf(stderr, "clementinegap %s: %s: %s\n", command.c_str(), poptBadOption(context.get(), 0),
-                     poptStrerror(problem));
+    std::optional<std::uint64_t> wait_ms;
+    const bool is_right = read_number(words, "based-on", result.based_on) &&
+                          read_number(words, "wait-ms", wait_ms) && !words.positionals().empty();
+    if (!is_right) {
         return std::nullopt;
     }
-    if (based_on >= 0) {
-        result.based_on = static_cast<std::uint64_t>(based_on);
-    }
-    result.patience = milliseconds(patience_ms);
-    result.explain = explain != 0;
-    result.as_json = as_json != 0;
-    for (const char** left = poptGetArgs(context.get()); left != nullptr && *left != nullptr; ++left) {
-        result.arguments.emplace_back(*left);
+    if (wait_ms) {
+        result.patience = milliseconds(*wait_ms);
     }
+    result.platform = words.value("platform");
+    result.submission = words.value("submission");
+    result.explain = words.has("explain");
+    result.as_json = words.has("json");
+    result.arguments = words.positionals();
+    take_platform_argument(result);
     return result;
 }
 
--- a/main/config_options.h
+++ b/main/config_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "main/command_options.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,11 +18,10 @@
     duration patience{seconds(10)};
     bool explain{false};
     bool as_json{false};
-    std::vector<std::string> arguments; ///< What is left: the subcommand and its files.
+    std::vector<std::string> arguments; ///< The subcommand and its files.
 };
 
-/// Reads the words after the command's name; nothing after a message when they are wrong.
-std::optional<config_options> parse_config_options(const std::string& command,
-                                                   const std::vector<std::string>& words);
+/// Nothing when a number is wrong or the subcommand is missing.
+std::optional<config_options> config_options_from(const parsed_words& words);
 
 } // namespace clementinegap
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 constexpr std::uint16_t http_ok = 200;
+constexpr std::uint16_t http_accepted = 202;
 constexpr std::uint16_t http_not_found = 404;
+constexpr std::uint16_t http_conflict = 409;
 constexpr std::uint16_t http_unavailable = 503;
 constexpr int exit_ok = 0;
 constexpr int exit_cannot_start = 3;
@@ -46,16 +48,8 @@
 daemon_base::daemon_base(settings values)
     : settings_(std::move(values)), events_(settings_.vm, settings_.timeline_capacity),
       platform_(std::make_unique<platform_client>(settings_.platform_url, settings_.platform_timeout)),
-      runtime_(
-          [this] {
-              if (draining_.exchange(true)) {
-                  return;
-              }
-              log_info("drain.started", "stop requested");
-              cluster_.post(leave_requested{});
-              begin_drain();
-          },
-          [] { log_info("reload.requested", "keys are read again at the next connection"); }),
+      runtime_([this] { begin_stop("signal"); },
+               [] { log_info("reload.requested", "keys are read again when their files change"); }),
       cluster_(cluster_core(cluster_settings_of(settings_)), cluster_ring_capacity,
                [this](const cluster_action& action, time_point now) { perform(action, now); })
 {
@@ -65,6 +59,9 @@
 
 int daemon_base::run()
 {
+    platform_->on_call([this](std::string_view operation, duration span, bool answered) {
+        metrics_.store_called(operation, std::chrono::duration<double>(span).count(), answered);
+    });
     auto started = start_admin();
     if (started) {
         started = start_overlay();
@@ -90,6 +87,17 @@
     return code;
 }
 
+void daemon_base::begin_stop(std::string_view reason)
+{
+    if (draining_.exchange(true)) {
+        return;
+    }
+    log_info("drain.started", reason);
+    metrics_.set("clementinegap_draining", 1);
+    cluster_.post(leave_requested{});
+    begin_drain();
+}
+
 void daemon_base::drain_finished()
 {
     log_info("drain.finished", "");
@@ -109,15 +117,13 @@
 
 outcome<peer_credentials> daemon_base::load_peer_credentials() const
 {
-    peer_credentials result;
-    if (settings_.peer_certificate_file.empty()) {
-        return result;
+    for (const auto& file :
+         {settings_.peer_ca_file, settings_.peer_certificate_file, settings_.peer_key_file}) {
+        if (!file.empty()) {
+            BOOST_OUTCOME_TRY(read_file(file));
+        }
     }
-    BOOST_OUTCOME_TRY(ca, read_file(settings_.peer_ca_file));
-    BOOST_OUTCOME_TRY(certificate, read_file(settings_.peer_certificate_file));
-    BOOST_OUTCOME_TRY(key, read_file(settings_.peer_key_file));
-    result = {std::move(ca), std::move(certificate), std::move(key)};
-    return result;
+    return peer_credentials{settings_.peer_ca_file, settings_.peer_certificate_file, settings_.peer_key_file};
 }
 
 outcome<void> daemon_base::start_overlay()
@@ -150,7 +156,13 @@
                       is_ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      metrics_.text());
+                      metrics_text());
+    } else if (request.path == "/status") {
+        admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/json"}}, status().dump());
+    } else if (request.path == "/drain" && request.method == "POST") {
+        on_drain(request);
+    } else if (request.path == "/orders" && request.method == "POST" && take_order(request)) {
+        return;
     } else if (request.path == "/timeline") {
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/x-ndjson"}},
                       events_.json_lines(request.query["request"]));
@@ -159,6 +171,66 @@
     }
 }
 
+void daemon_base::answer_admin(const http_request& request, result_code code)
+{
+    const auto& entry = describe(code);
+    const json body{{"code", static_cast<int>(code)},
+                    {"name", std::string(entry.name)},
+                    {"text", std::string(entry.text)}};
+    admin_.answer(request.exchange, code == result_code::ok ? http_ok : entry.http_status,
+                  {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void daemon_base::on_drain(const http_request& request)
+{
+    const http_server::headers text{{"Content-Type", "text/plain; charset=utf-8"}};
+    const auto wanted = request.query.find("vm");
+    if (wanted == request.query.end() || wanted->second != settings_.vm) {
+        admin_.answer(request.exchange, http_conflict, text, "this is VM " + settings_.vm + "\n");
+        return;
+    }
+    admin_.answer(request.exchange, http_accepted, text, "draining\n");
+    begin_stop("order of an operator");
+}
+
+void daemon_base::publish_status(json role_part)
+{
+    const std::lock_guard lock(status_mutex_);
+    role_status_ = std::move(role_part);
+}
+
+json daemon_base::status() const
+{
+    json classes = json::array();
+    for (const auto& item : metrics_.totals()) {
+        classes.push_back({{"name", item.name},
+                           {"ended", item.ended},
+                           {"ok", item.ok},
+                           {"target_met", item.target_met},
+                           {"tokens", item.tokens}});
+    }
+    const std::lock_guard lock(status_mutex_);
+    return {{"vm", settings_.vm},
+            {"role", settings_.role == daemon_role::entry ? "entry" : "upstream"},
+            {"zone", settings_.zone},
+            {"region", settings_.region},
+            {"program_version", CG_VERSION},
+            {"configuration_version", version_.load()},
+            {"ready", ready() && !draining_},
+            {"draining", draining_.load()},
+            {"uptime_s", std::chrono::duration_cast<seconds>(process_now() - started_at_).count()},
+            {"timeline_dropped", events_.dropped()},
+            {"classes", classes},
+            {"role_part", role_status_}};
+}
+
+std::string daemon_base::metrics_text()
+{
+    metrics_.set("clementinegap_timeline_dropped", static_cast<double>(events_.dropped()));
+    metrics_.set("clementinegap_configuration_version", static_cast<double>(version_.load()));
+    return metrics_.text();
+}
+
 void daemon_base::perform(const cluster_action& action, time_point now)
 {
     std::visit(overloaded{[&](const keep_streams& value) { overlay_->keep_streams(value.addresses); },
@@ -214,8 +286,6 @@
 
 void daemon_base::report(const cluster_core& core)
 {
-    metrics_.set("clementinegap_configuration_version",
-                 static_cast<double>(core.configuration().head().version));
     metrics_.set("clementinegap_members", static_cast<double>(core.members().fleet_size()));
     metrics_.set("clementinegap_overlay_peers", static_cast<double>(core.connected()));
     metrics_.set("clementinegap_overlay_items", static_cast<double>(core.items().size()));
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 
 namespace clementinegap {
 
@@ -41,11 +42,19 @@
     /// An item that another daemon published arrived.
     virtual void item_seen(const soft_item& item) = 0;
     virtual bool ready() const = 0;
+    /// Takes an engine order of the admin address; only a role with an engine has one.
+    virtual bool take_order(const http_request& /*request*/) { return false; }
+    /// Answers an admin request with a result code, from any thread.
+    void answer_admin(const http_request& request, result_code code);
 
     void apply(const emit_record& action, time_point now);
     void drain_finished();
+    /// Sets the role's part of the answer to /status; from the decision thread.
+    void publish_status(json role_part);
     /// Spreads soft state among the daemons.
     void publish(const soft_item& item);
+    static constexpr duration status_interval = milliseconds(500);
+
     outcome<peer_credentials> load_peer_credentials() const;
     overlay_link& overlay() { return *overlay_; }
 
@@ -60,6 +69,10 @@
     outcome<void> start_admin();
     outcome<void> start_overlay();
     void on_admin(http_request request);
+    void on_drain(const http_request& request);
+    json status() const;
+    std::string metrics_text();
+    void begin_stop(std::string_view reason);
     void perform(const cluster_action& action, time_point now);
     void read_head();
     void read_configuration();
@@ -72,6 +85,9 @@
     cluster_thread cluster_;
     std::atomic<std::uint64_t> version_{0};
     std::atomic<bool> draining_{false};
+    const time_point started_at_{process_now()};
+    mutable std::mutex status_mutex_;
+    json role_status_;
 };
 
 } // namespace clementinegap
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -31,7 +31,8 @@
                  [this](const upstream_action& action, time_point now) { perform(action, now); }),
       runs_(*platform_, [this](upstream_event event) { return decisions_.post(std::move(event)); }),
       engine_(settings_.engine_url,
-              [this](upstream_event event) { return decisions_.post(std::move(event)); })
+              [this](upstream_event event) { return decisions_.post(std::move(event)); }),
+      orders_(*platform_, settings_.vm, settings_.engine_url)
 {
 }
 
@@ -41,14 +42,15 @@
 {
     BOOST_OUTCOME_TRY(credentials, load_peer_credentials());
     peers_ = std::make_unique<peer_server>(
-        [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials));
+        [this](upstream_event event) { return decisions_.post(std::move(event)); }, std::move(credentials),
+        events_.clock());
     decisions_.on_batch_end([this] { peers_->flush(); });
     decisions_.on_idle([this](const upstream_core& core) {
         ready_ = core.ready();
-        metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
-        metrics_.set("clementinegap_busy_slots", core.busy_slots());
+        observe(core);
     });
     decisions_.start();
+    orders_.start();
     peers_->also_serve(overlay().service());
     return peers_->start(settings_.peer_address);
 }
@@ -63,9 +65,16 @@
     if (peers_) {
         peers_->stop();
     }
+    orders_.stop();
     decisions_.stop();
 }
 
+bool upstream_daemon::take_order(const http_request& request)
+{
+    orders_.take(request.body, [this, request](result_code code) { answer_admin(request, code); });
+    return true;
+}
+
 void upstream_daemon::configure(configuration_ptr value)
 {
     decisions_.post(configuration_applied{std::move(value)});
@@ -81,6 +90,22 @@
     decisions_.post(soft_item_seen{item});
 }
 
+void upstream_daemon::observe(const upstream_core& core)
+{
+    metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
+    metrics_.set("clementinegap_busy_slots", core.busy_slots());
+    metrics_.set("clementinegap_ring_refused", static_cast<double>(decisions_.refused()));
+    const auto now = process_now();
+    if (now < observed_at_ + status_interval) {
+        return;
+    }
+    observed_at_ = now;
+    publish_status({{"queued", core.queued()},
+                    {"busy_slots", core.busy_slots()},
+                    {"slots", settings_.slots},
+                    {"models", settings_.models}});
+}
+
 void upstream_daemon::perform(const upstream_action& action, time_point now)
 {
     std::visit(overloaded{[&](const send_to_entry& value) { peers_->send(value.session, value.message); },
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -37,7 +37,8 @@
     std::optional<duration> deadline; ///< From the deadline header.
     std::string model;                ///< The body's model, or the service of the path.
     bool stream{false};
-    bool malformed{false}; ///< The body is not JSON where the path requires it.
+    bool malformed{false};  ///< The body is not JSON where the path requires it.
+    std::string bad_header; ///< What a header with an invalid value may be; empty when all are valid.
     std::string body;
     std::uint32_t prompt_tokens{0};
     std::vector<std::uint64_t> prefix_hashes;
@@ -135,6 +136,10 @@
     duration total{0};
     std::uint32_t tokens{0};
     bool target_met{false};
+    int tier{0};
+    duration queue_wait{0}; ///< From arrival to the first dispatch, or to the end without one.
+    std::uint32_t dispatches{0};
+    std::uint32_t wasted_tokens{0}; ///< Received, but not part of a whole answer.
 };
 
 /// Spreads an item among the daemons; the daemon fills in origin, incarnation and sequence.
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -147,7 +147,8 @@
             return false;
         }
         const auto displaced = runs_.at(last->id);
-        record(*displaced, "attempt.displaced", attempt->reservation.request_id);
+        record(*displaced, "attempt.displaced",
+               "the queue is full and request " + attempt->reservation.request_id + " of a higher tier came");
         refuse(displaced, result_code::overloaded, retry_after());
     }
     std::visit([&](auto& order) { order.push(attempt->work); }, settings_.order);
@@ -313,7 +314,7 @@
     work.target_at = now_ + std::max(attempt->reservation.target_left, least_slice_wait);
     std::get<tiered_order>(settings_.order).push(work);
     actions_.emplace_back(engine_pause{attempt->id});
-    record(*attempt, "run.set_aside", "");
+    record(*attempt, "run.set_aside", "its slice ended while other work waited");
 }
 
 void upstream_core::begin_slice(const attempt_ptr& attempt)
@@ -649,7 +650,9 @@
 void upstream_core::refuse(const attempt_ptr& attempt, result_code code, duration retry_after)
 {
     send(*attempt, refused_message{attempt->reservation.attempt, code, retry_after});
-    record(*attempt, "attempt.refused", std::string(describe(code).name));
+    record(*attempt, "attempt.refused",
+           std::string(describe(code).name) + ", " + std::to_string(queued()) + " queued, " +
+               std::to_string(current_load().free_slots) + " free slots");
     forget(attempt);
 }
 
