--- a/adapters/caller_gateway.cpp
+++ b/adapters/caller_gateway.cpp
@@ -5,6 +5,7 @@
 #include "request/failure_answer.h"
 #include "request/model_list.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace clementinegap {
@@ -12,6 +13,7 @@
 
 constexpr std::string_view service_prefix = "/services/";
 constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::size_t max_header_value = 256;
 constexpr std::size_t characters_per_token = 4;
 constexpr std::size_t prefix_block_characters = 256;
 constexpr std::size_t max_prefix_hashes = 16;
@@ -33,6 +35,39 @@
     return method == "GET" || method == "HEAD";
 }
 
+/// Whether the path can be forwarded as it is: no dot segments, also percent-encoded, by which a caller of a
+/// service would reach other paths of the upstream.
+bool is_plain_path(std::string_view path)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        const auto rest = path.substr(i);
+        const bool is_dot = rest.starts_with("%2e") || rest.starts_with("%2E");
+        decoded.push_back(is_dot ? '.' : path[i]);
+        i += is_dot ? 2 : 0;
+    }
+    decoded.push_back('/');
+    return decoded.find("/./") == std::string::npos && decoded.find("/../") == std::string::npos;
+}
+
+bool is_visible_ascii(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+/// The headers whose values are kept or forwarded, with what they may be when one has another value.
+std::string invalid_header(const http_request& request)
+{
+    for (const std::string_view name : {"clementinegap-class", "idempotency-key", "content-type"}) {
+        const auto value = request.header(name);
+        if (value.size() > max_header_value || !is_visible_ascii(value)) {
+            return std::string(name) + " takes at most " + std::to_string(max_header_value) +
+                   " visible ASCII characters.";
+        }
+    }
+    return {};
+}
+
 result_code code_of(receive_fault fault)
 {
     return fault == receive_fault::too_large ? result_code::body_too_large : result_code::sender_too_slow;
@@ -100,6 +135,7 @@
     result.content_type = request.header("content-type");
     result.class_name = request.header("clementinegap-class");
     result.idempotency_key = request.header("idempotency-key");
+    result.bad_header = invalid_header(request);
     const auto authorization = request.header("authorization");
     if (authorization.starts_with(bearer_prefix)) {
         result.key_sha256 = sha256_hex(authorization.substr(bearer_prefix.size()));
@@ -148,6 +184,10 @@
         return;
     }
     const bool lists_models = request.path == models_path;
+    if (!is_plain_path(request.path) || !is_visible_ascii(request.path)) {
+        refuse(exchange, result_code::not_found, "");
+        return;
+    }
     if (!is_model_path(request.path) && !lists_models && !is_service_path(request.path)) {
         refuse(exchange, result_code::not_found, "");
         return;
--- a/adapters/http_client.cpp
+++ b/adapters/http_client.cpp
@@ -200,6 +200,7 @@
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(easy, CURLOPT_PROXY, "");
+        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, item.call.fresh_connection ? 1L : 0L);
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                          static_cast<long>(to_milliseconds(item.call.connect_timeout)));
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -101,6 +101,12 @@
            std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
 }
 
+/// A decoded path could hold line breaks and other parts of a request to whoever it is forwarded to.
+std::size_t leave_escaped(void* /*context*/, MHD_Connection* /*connection*/, char* text)
+{
+    return std::strlen(text);
+}
+
 void add_headers(MHD_Response* response, const http_server::headers& fields)
 {
     for (const auto& [name, value] : fields) {
@@ -141,6 +147,7 @@
             {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&implementation::on_completed),
              this},
             {MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr},
+            {MHD_OPTION_UNESCAPE_CALLBACK, reinterpret_cast<std::intptr_t>(&leave_escaped), nullptr},
         };
         if (options.threads > 1) {
             items.push_back(
--- a/adapters/http_server.h
+++ b/adapters/http_server.h
@@ -30,7 +30,7 @@
 struct http_request {
     exchange_id exchange{0};
     std::string method;
-    std::string path;
+    std::string path; ///< As it was sent: percent-encoded characters stay encoded.
     std::map<std::string, std::string, std::less<>> headers;
     std::map<std::string, std::string, std::less<>> query;
     std::string body;
--- a/core/checked_json.cpp
+++ b/core/checked_json.cpp
@@ -243,8 +243,10 @@
     } catch (const json::parse_error& problem) {
         faults.add("(document)", "a syntax error at byte " + std::to_string(problem.byte),
                    "JSON with comments");
-        return std::nullopt;
+    } catch (const json::out_of_range&) {
+        faults.add("(document)", "a number that no floating-point value can hold", "numbers up to 1.7e308");
     }
+    return std::nullopt;
 }
 
 std::string nearest_word(std::string_view word, std::span<const std::string> words)
--- a/tests/process/test_bad_input.cpp
+++ b/tests/process/test_bad_input.cpp
@@ -101,6 +101,9 @@
     expect(request_text("POST", chat, good_body, key + closing + "Clementinegap-Class: none\r\n"), 400, 102);
     expect(request_text("POST", chat, good_body, "Authorization: Bearer wrong\r\n" + closing), 401, 106);
     expect(request_text("POST", chat, good_body, closing), 401, 106);
+    for (const std::string name : {"Clementinegap-Class", "Idempotency-Key", "Content-Type"}) {
+        expect(request_text("POST", chat, good_body, key + closing + name + ": \xff\xfe\r\n"), 400, 109);
+    }
     for (const std::string value : {"0", "-1", "1x", "99999999999999999999"}) {
         const auto header = "Clementinegap-Deadline-Ms: " + value + "\r\n";
         expect(request_text("POST", chat, good_body, key + closing + header), 400, 109);
@@ -111,6 +114,13 @@
 {
     expect(request_text("POST", "/nothing", good_body, key + closing), 404, 107);
     expect(request_text("POST", "/services/", good_body, key + closing), 404, 107);
+    for (const std::string path : {"/services/x/../../v1/orders", "/services/x/%2e%2E/v1/orders",
+                                   "/services/x/\xff", "/services/x/.."}) {
+        expect(request_text("POST", path, good_body, key + closing), 404, 107);
+    }
+    expect(request_text("POST", "/services/x%0d%0aX:%20y", good_body,
+                        key + closing + "Clementinegap-Class: chat\r\n"),
+           404, 103);
     expect(request_text("GET", chat, "", key + closing), 405, 110);
     expect(request_text("DELETE", "/v1/models", "", key + closing), 405, 110);
     expect(request_text("GET", "/v1/models", "", closing), 401, 106);
