--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -33,7 +33,7 @@
 int daemon_base::run()
 {
     platform_->on_call([this](std::string_view operation, duration span, bool answered) {
-        metrics_.store_called(operation, std::chrono::duration<double>(span).count(), answered);
+        platform_called(operation, span, answered);
     });
     auto started = start_admin();
     if (started) {
@@ -56,6 +56,16 @@
     return code;
 }
 
+void daemon_base::platform_called(std::string_view operation, duration span, bool answered)
+{
+    metrics_.store_called(operation, std::chrono::duration<double>(span).count(), answered);
+    if (platform_answers_.exchange(answered) != answered) {
+        apply(emit_record{{answered ? "platform.available" : "platform.unavailable", "", "", "", "",
+                           std::string(operation)}},
+              process_now());
+    }
+}
+
 void daemon_base::begin_stop(std::string_view reason)
 {
     if (draining_.exchange(true)) {
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -62,6 +62,7 @@
     json status() const;
     std::string metrics_text();
     void begin_stop(std::string_view reason);
+    void platform_called(std::string_view operation, duration span, bool answered);
     void poll_platform();
     void read_configuration(const read_result& result);
     void stop_polling();
@@ -74,6 +75,7 @@
     std::thread poll_thread_;
     std::atomic<std::uint64_t> version_{0};
     std::atomic<bool> draining_{false};
+    std::atomic<bool> platform_answers_{true};
     const time_point started_at_{process_now()};
     mutable std::mutex status_mutex_;
     json role_status_;
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -245,7 +245,9 @@
     if (found == upstreams_.end()) {
         return;
     }
-    found->second.connected = false;
+    if (std::exchange(found->second.connected, false)) {
+        actions_.emplace_back(emit_record{{"upstream.disconnected", "", "", "", event.vm, ""}});
+    }
     std::vector<std::pair<attempt_id, request_ptr>> affected;
     for (const auto& item : attempts_) {
         const attempt_id attempt = item.first;
@@ -286,6 +288,8 @@
     view.queued = 0;
     view.leaving = message.leaving;
     view.connected = true;
+    actions_.emplace_back(emit_record{{"upstream.connected", "", "", "", vm,
+                                       std::to_string(message.slots) + " slots, zone " + message.zone}});
 }
 
 void entry_core::on_message(const std::string& vm, const load_message& message)
@@ -298,7 +302,10 @@
     view.free_slots = message.free_slots;
     view.queued = message.queued;
     view.expected_wait = message.expected_wait;
-    view.slowed = message.slowed;
+    if (std::exchange(view.slowed, message.slowed) != message.slowed) {
+        actions_.emplace_back(
+            emit_record{{message.slowed ? "upstream.slowed" : "upstream.recovered", "", "", "", vm, ""}});
+    }
     view.leaving = message.leaving;
 }
 
