--- a/slopes/slope_suite.cpp
+++ b/slopes/slope_suite.cpp
@@ -6,6 +6,7 @@
 #include "core/digest.h"
 #include "slopes/request_pipeline.h"
 #include "slopes/resource_meter.h"
+#include "slopes/session_cost.h"
 
 #include <algorithm>
 #include <functional>
@@ -352,6 +353,14 @@
               cpu_of(repeats, [&](int /*round*/) { counts.request_ended(request); }));
 }
 
+void add_sessions(slope_table& table)
+{
+    constexpr int sessions = 200;
+    const auto cost = measure_sessions(sessions);
+    table.add("session.memory", "open peer stream, both ends", "bytes", cost.memory_bytes);
+    table.add("session.idle_cpu", "open peer stream, both ends, each second", "us", cost.cpu_us_per_second);
+}
+
 } // namespace
 
 std::vector<slope> measure_slopes(std::uint64_t seed, int rounds)
@@ -366,6 +375,7 @@
         add_run_record(table);
         add_observability(table);
     }
+    add_sessions(table);
     return table.medians();
 }
 
--- a/tests/main/test_record_command.cpp
+++ b/tests/main/test_record_command.cpp
@@ -18,6 +18,8 @@
         BOOST_REQUIRE(platform.start(0).has_value());
         url = "http://127.0.0.1:" + std::to_string(platform.port());
     }
+    one_record(const one_record&) = delete;
+    one_record& operator=(const one_record&) = delete;
     ~one_record() { platform.stop(); }
 
     void insert(run_phase phase) const
