--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -53,9 +53,11 @@
       callers_([this](entry_event event) { return entry_.post(std::move(event)); }),
       engine_(engine_url, [this](upstream_event event) { return upstream_.post(std::move(event)); }),
       server_(std::make_unique<peer_server>(
-          [this](upstream_event event) { return upstream_.post(std::move(event)); }, peer_credentials{})),
-      client_(std::make_unique<peer_client>(
-          [this](entry_event event) { return entry_.post(std::move(event)); }, peer_credentials{}))
+          [this](upstream_event event) { return upstream_.post(std::move(event)); }, peer_credentials{},
+          upstream_clock_)),
+      client_(
+          std::make_unique<peer_client>([this](entry_event event) { return entry_.post(std::move(event)); },
+                                        peer_credentials{}, entry_clock_))
 {
     entry_.on_batch_end([this] { client_->flush(); });
     entry_.on_idle([this](const entry_core& core) { open_requests_ = core.request_count(); });
--- a/tests/process/process_deployment.h
+++ b/tests/process/process_deployment.h
@@ -39,6 +39,8 @@
     decision_thread<upstream_core, upstream_event, upstream_action> upstream_;
     caller_gateway callers_;
     engine_gateway engine_;
+    hybrid_clock upstream_clock_;
+    hybrid_clock entry_clock_;
     std::unique_ptr<peer_server> server_;
     std::unique_ptr<peer_client> client_;
     std::atomic<std::size_t> open_requests_{0};
--- a/tests/slopes/test_request_pipeline.cpp
+++ b/tests/slopes/test_request_pipeline.cpp
@@ -22,6 +22,6 @@
     load.tokens = 4;
     pipeline.run(load);
     BOOST_TEST(pipeline.completed() == 50U);
-    BOOST_TEST(pipeline.entry_cost().bytes > 50U * load.body_bytes);
-    BOOST_TEST(pipeline.upstream_cost().bytes > 50U * 4 * load.token_bytes);
+    BOOST_TEST(pipeline.entry_cost().bytes > std::size_t{50} * load.body_bytes);
+    BOOST_TEST(pipeline.upstream_cost().bytes > std::size_t{50} * 4 * load.token_bytes);
 }
