--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -73,6 +73,7 @@
     void read_configuration();
     void read_members();
     void report(const cluster_core& core);
+    void platform_called(std::string_view operation, duration span, bool answered);
 
     http_server admin_;
     runtime runtime_;
@@ -80,6 +81,7 @@
     cluster_thread cluster_;
     std::atomic<std::uint64_t> version_{0};
     std::atomic<bool> draining_{false};
+    std::atomic<bool> platform_answers_{true};
     const time_point started_at_{process_now()};
     mutable std::mutex status_mutex_;
     json role_status_;
