--- a/adapters/overlay_link.cpp
+++ b/adapters/overlay_link.cpp
@@ -285,7 +285,8 @@
         }
         const auto identity = credentials_.plain() ? std::nullopt : identity_of(*context.auth_context());
         const bool is_proved =
-            credentials_.plain() || (identity && identity->vm == frame.messages(0).hello().vm());
+            credentials_.plain() ||
+            (identity && (identity->role == "operator" || identity->vm == frame.messages(0).hello().vm()));
         if (!is_proved) {
             return false;
         }
--- a/adapters/peer_identity.cpp
+++ b/adapters/peer_identity.cpp
@@ -11,7 +11,7 @@
         return std::nullopt;
     }
     const auto role = common_name.substr(0, dot);
-    if (role != "entry" && role != "upstream") {
+    if (role != "entry" && role != "upstream" && role != "operator") {
         return std::nullopt;
     }
     return peer_identity{std::string(role), std::string(common_name.substr(dot + 1))};
--- a/adapters/peer_identity.h
+++ b/adapters/peer_identity.h
@@ -10,7 +10,8 @@
 
 namespace clementinegap {
 
-/// Who a peer is by its certificate, whose common name is "ROLE.VM", such as "entry.vm-17".
+/// Who a peer is by its certificate, whose common name is "ROLE.VM", such as "entry.vm-17"; the roles are
+/// entry, upstream, and operator for the command line.
 struct peer_identity {
     std::string role;
     std::string vm;
--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -241,8 +241,8 @@
 
     upstream_event_sink sink_;
     peer_credentials credentials_;
-    grpc::Service* other_{nullptr};
     hybrid_clock& clock_;
+    grpc::Service* other_{nullptr};
     std::unique_ptr<grpc::Server> server_;
     int port_{0};
     std::mutex mutex_;
--- a/core/checked_json.cpp
+++ b/core/checked_json.cpp
@@ -254,6 +254,8 @@
     } catch (const json::parse_error& problem) {
         faults.add("(document)", "a syntax error at byte " + std::to_string(problem.byte),
                    "JSON with comments");
+    } catch (const json::out_of_range&) {
+        faults.add("(document)", "a number that no floating-point value can hold", "numbers up to 1.7e308");
     } catch (const json::exception&) {
         faults.add("(document)", "a number that is too large", "numbers within the range of their member");
     }
--- a/main/command_config.cpp
+++ b/main/command_config.cpp
@@ -6,11 +6,14 @@
 #include "config/questionnaire.h"
 #include "core/digest.h"
 #include "main/config_options.h"
+#include "main/configuration_push.h"
 #include "main/settings.h"
 #include "main/submission.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <future>
 #include <map>
 #include <random>
 #include <thread>
@@ -19,6 +22,8 @@
 namespace {
 
 constexpr duration platform_timeout = seconds(2);
+constexpr duration push_patience = seconds(1);
+constexpr std::size_t pushed_daemons = 3;
 constexpr const char* usage =
     "usage: clementinegap config generate [--explain] FILE...\n"
     "       clementinegap config check FILE...\n"
@@ -199,6 +204,25 @@
     return exit_code::unknown;
 }
 
+/// A few daemons over the whole list, to hand an accepted configuration to.
+std::vector<std::string> daemon_addresses(platform_client& platform)
+{
+    std::promise<std::vector<std::string>> promise;
+    platform.list_vms([&](const std::optional<std::vector<listed_vm>>& vms) {
+        std::vector<std::string> addresses;
+        for (const auto& vm : vms.value_or(std::vector<listed_vm>{})) {
+            if (!vm.leaving && !vm.address.empty()) {
+                addresses.push_back(vm.address);
+            }
+        }
+        promise.set_value(std::move(addresses));
+    });
+    auto all = promise.get_future().get();
+    std::ranges::shuffle(all, std::mt19937_64(std::random_device{}()));
+    all.resize(std::min(all.size(), pushed_daemons));
+    return all;
+}
+
 exit_code submit_file(platform_session& session, const config_options& options, const std::string& file)
 {
     const auto text = read_file(file);
@@ -215,7 +239,14 @@
     work.answers = text.value();
     work.based_on = options.based_on ? options.based_on : answers.value().based_on;
     work.at_unix_ms = unix_now_ms();
+    // Read beforehand: the platform may be gone right after it has taken the change.
+    const auto daemons = daemon_addresses(session.client);
     const auto report = session.table.submit(work);
+    if (!report.configuration_text.empty() && !daemons.empty()) {
+        const configuration_head head{report.version, sha256_hex(report.configuration_text)};
+        (void)push_configuration(daemons, {options.ca_file, options.certificate_file, options.key_file}, head,
+                                 report.configuration_text, push_patience);
+    }
     const auto code = code_of(report.what);
     if (code != exit_code::ok) {
         return fail(code, report.text);
--- a/main/config_options.cpp
+++ b/main/config_options.cpp
@@ -44,6 +44,9 @@
     }
     result.platform = words.value("platform");
     result.submission = words.value("submission");
+    result.ca_file = words.value("ca-file");
+    result.certificate_file = words.value("certificate-file");
+    result.key_file = words.value("key-file");
     result.explain = words.has("explain");
     result.as_json = words.has("json");
     result.arguments = words.positionals();
--- a/main/config_options.h
+++ b/main/config_options.h
@@ -16,6 +16,9 @@
     std::string submission;
     std::optional<std::uint64_t> based_on;
     duration patience{seconds(10)};
+    std::string ca_file; ///< The three files of the operator's keys; empty for plain text.
+    std::string certificate_file;
+    std::string key_file;
     bool explain{false};
     bool as_json{false};
     std::vector<std::string> arguments; ///< The subcommand and its files.
--- a/main/submission.cpp
+++ b/main/submission.cpp
@@ -88,7 +88,7 @@
 
 submission_report accepted(std::uint64_t version)
 {
-    return {verdict::accepted, version, "accepted as version " + std::to_string(version) + "\n"};
+    return {verdict::accepted, version, "accepted as version " + std::to_string(version) + "\n", ""};
 }
 
 } // namespace
@@ -143,10 +143,12 @@
         return submission_report{verdict::refused, 0, "not accepted:\n" + next.error().message};
     }
     const auto version = next.value().value.version;
+    auto report = accepted(version);
+    report.configuration_text = to_json(next.value().value).dump();
     const auto answer = transact(std::move(next.value().operations));
     switch (answer.result) {
     case store_result::done:
-        return accepted(version);
+        return report;
     case store_result::unknown:
         maybe_written_ = true;
         return std::nullopt;
--- a/main/submission.h
+++ b/main/submission.h
@@ -60,6 +60,7 @@
     verdict what{verdict::refused};
     std::uint64_t version{0};
     std::string text;
+    std::string configuration_text{}; ///< With `accepted`, what is in force; empty when it was read back.
 };
 
 /// Hands answers in: one transaction replaces the team's answers, if they are still those that the new ones
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -85,11 +85,6 @@
     // Entries connect to upstream daemons, not the other way round.
 }
 
-void upstream_daemon::item_seen(const soft_item& item)
-{
-    decisions_.post(soft_item_seen{item});
-}
-
 void upstream_daemon::observe(const upstream_core& core)
 {
     metrics_.set("clementinegap_queued", static_cast<double>(core.queued()));
@@ -106,6 +101,11 @@
                     {"models", settings_.models}});
 }
 
+void upstream_daemon::item_seen(const soft_item& item)
+{
+    decisions_.post(soft_item_seen{item});
+}
+
 void upstream_daemon::perform(const upstream_action& action, time_point now)
 {
     std::visit(overloaded{[&](const send_to_entry& value) { peers_->send(value.session, value.message); },
--- a/misc/spread_experiment.py
+++ b/misc/spread_experiment.py
@@ -9,6 +9,7 @@
 import argparse
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -203,6 +204,7 @@
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--base", type=int, default=23000)
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("ended"))
     return in_force(options) if options.what == "in-force" else cost(options)
 
 
