The configuration version is a metric again

Change: set it with the other figures of the page; misc/demo.sh checks it. The event configuration.applied is recorded once. Conclusion: none beyond the fault.

--- a/cluster/cluster_core.cpp
+++ b/cluster/cluster_core.cpp
@@ -452,7 +452,6 @@
     }
     if (verdict == configuration_spread::verdict::applied) {
         act(apply_configuration{spread_.current()});
-        record("configuration.applied", "version " + std::to_string(spread_.head().version));
         for (const auto& [address, peer] : peers_) {
             act(send_to_peer{address, beat_message(true)});
         }
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -237,6 +237,7 @@
 std::string daemon_base::metrics_text()
 {
     metrics_.set("clementinegap_timeline_dropped", static_cast<double>(events_.dropped()));
+    metrics_.set("clementinegap_configuration_version", static_cast<double>(version_.load()));
     return metrics_.text();
 }
 
--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -71,6 +71,9 @@
 echo "the service's ledger: $ledger"
 [ "$ledger" = '{"a17":1}' ] || { echo "the booking did not run exactly once" >&2; exit 1; }
 
+curl -fsS "http://127.0.0.1:$((base + 51))/metrics" | grep -q '^clementinegap_configuration_version 1$' ||
+    { echo "the entry does not report configuration version 1" >&2; exit 1; }
+
 show "where to look"
 echo "time line: curl $(printf 'http://127.0.0.1:%s/timeline' $((base + 51)))"
 echo "metrics:   curl $(printf 'http://127.0.0.1:%s/metrics' $((base + 51)))"
