A test that an entry asks a leaving upstream for nothing

Cause: the cluster's word on a leaving VM was covered by the cluster's tests only. Change: entry_core is told, withdraws its reservation, and an older report of the upstream does not undo it. Conclusion: none beyond the test.

--- a/tests/request/test_entry_core.cpp
+++ b/tests/request/test_entry_core.cpp
@@ -1,7 +1,12 @@
 #include "request/entry_core.h"
 
+#include "config/configuration_builder.h"
+#include "core/digest.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace clementinegap;
 
 BOOST_AUTO_TEST_SUITE(an_entry_core)
@@ -24,4 +29,50 @@
     BOOST_TEST(recorded->record.detail == "not_ready");
 }
 
+BOOST_AUTO_TEST_CASE(asks_an_upstream_for_nothing_once_the_cluster_says_that_it_is_leaving)
+{
+    entry_core core(entry_settings{});
+    auto now = time_point(seconds(1));
+    const auto reserved_at = [](std::span<const entry_action> actions, const std::string& vm) {
+        return std::ranges::count_if(actions, [&](const entry_action& action) {
+            const auto* sent = std::get_if<send_to_upstream>(&action);
+            return sent != nullptr && sent->vm == vm &&
+                   std::holds_alternative<reserve_message>(sent->message);
+        });
+    };
+    const auto value = configuration_builder()
+                           .version(1)
+                           .add(class_builder("status", "assistant"))
+                           .add_workspace("desk", sha256_hex("key"))
+                           .build();
+    core.on_event(configuration_applied{std::make_shared<const configuration>(value.value())}, now);
+    for (const auto* vm : {"upstream-1", "upstream-2"}) {
+        hello_message hello;
+        hello.vm = vm;
+        hello.models = {"assistant"};
+        hello.slots = 1;
+        core.on_event(upstream_connected{vm}, now);
+        core.on_event(upstream_said{vm, hello}, now);
+    }
+    caller_request request;
+    request.caller = 1;
+    request.key_sha256 = sha256_hex("key");
+    request.class_name = "status";
+    request.model = "assistant";
+    BOOST_TEST(reserved_at(core.on_event(request, now), "upstream-1") == 1);
+    const auto withdrawn = core.on_event(upstream_leaving{"upstream-1", true}, now);
+    const bool is_withdrawn = std::ranges::any_of(withdrawn, [](const entry_action& action) {
+        const auto* sent = std::get_if<send_to_upstream>(&action);
+        return sent != nullptr && sent->vm == "upstream-1" &&
+               std::holds_alternative<cancel_message>(sent->message);
+    });
+    BOOST_TEST(is_withdrawn);
+    // The upstream's own report is older than the cluster's word.
+    core.on_event(upstream_said{"upstream-1", load_message{}}, now);
+    request.caller = 2;
+    const auto actions = core.on_event(request, now);
+    BOOST_TEST(reserved_at(actions, "upstream-1") == 0);
+    BOOST_TEST(reserved_at(actions, "upstream-2") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
