Claim machine for keyed runs, truthful refusals, random schedules over the cores

Cause: a keyed resend could be told 'ran: no' although an earlier attempt ran; a claim whose deadline passed left its record for ever; a lost outcome write was not repeated; a detached run on hold never ended; a repeated grant cancelled the run it had started. Change: request/run_claims owns every doubt about the table service (bounded retry, late effects, release of records that never started, stored outcomes); request/truth decides what may be said of a keyed request; claims hold no slot; dead owners are known by incarnation; shutdown admission closes per class with Sunset.

--- a/adapters/run_record_codec.cpp
+++ b/adapters/run_record_codec.cpp
@@ -19,7 +19,8 @@
              {"upstream", record.upstream},
              {"incarnation", record.incarnation},
              {"phase", record.phase == run_phase::finished ? "finished" : "started"},
-             {"code", static_cast<int>(record.code)}};
+             {"code", static_cast<int>(record.code)},
+             {"ran", std::string(to_string(record.ran))}};
     if (record.answer) {
         row["answer"] = {{"status", record.answer->status},
                          {"content_type", record.answer->content_type},
@@ -45,6 +46,8 @@
         record.incarnation = row.at("incarnation").get<std::uint64_t>();
         record.phase = row.at("phase") == "finished" ? run_phase::finished : run_phase::started;
         record.code = describe(static_cast<result_code>(row.at("code").get<int>())).code;
+        const auto ran = row.value("ran", "yes");
+        record.ran = ran == "no" ? ran_state::no : ran == "yes" ? ran_state::yes : ran_state::unknown;
         if (row.contains("answer")) {
             const auto& answer = row["answer"];
             auto body = base64_decode(answer.at("body").get<std::string>());
--- a/adapters/run_store.cpp
+++ b/adapters/run_store.cpp
@@ -67,6 +67,28 @@
     });
 }
 
+void run_store::release(const release_run& action)
+{
+    const auto record = action.record;
+    const auto key = run_row_key(record.workspace, record.key);
+    table_.read(std::string(run_table), key, [this, record, key](const read_result& found) {
+        const auto row = run_record_from_text(found.row.value);
+        const bool own = found.result == store_result::done && row && row->attempt == record.attempt &&
+                         row->phase == run_phase::started;
+        if (!own) {
+            const auto result = found.result == store_result::done ? store_result::exists : found.result;
+            tell(release_answered{record.attempt, result});
+            return;
+        }
+        table_operation erase{table_operation::kind::erase, std::string(run_table), key, "",
+                              found.row.revision};
+        table_.transact({std::move(erase)},
+                        [this, attempt = record.attempt](const transaction_result& result) {
+                            tell(release_answered{attempt, result.result});
+                        });
+    });
+}
+
 void run_store::tell(upstream_event event)
 {
     while (!sink_(event)) {
--- a/adapters/run_store.h
+++ b/adapters/run_store.h
@@ -14,6 +14,8 @@
     void claim(const claim_run& action);
     void read(const read_run& action);
     void finish(const finish_run& action);
+    /// Removes the record if it is the attempt's own and was never finished.
+    void release(const release_run& action);
 
 private:
     void tell(upstream_event event);
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -33,6 +33,7 @@
     answer_truncated = 303,
     outcome_unknown = 304,
     store_unavailable = 305,
+    answer_not_kept = 306,
     not_ready = 400,
     leaving = 401,
     shut_down = 402,
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -87,6 +87,7 @@
                           [&](const claim_run& value) { runs_.claim(value); },
                           [&](const read_run& value) { runs_.read(value); },
                           [&](const finish_run& value) { runs_.finish(value); },
+                          [&](const release_run& value) { runs_.release(value); },
                           [&](const emit_record& value) { apply(value, now); },
                           [&](const drained&) { drain_finished(); }},
                action);
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,6 +1,8 @@
 #include "request/entry_core.h"
 
 #include "core/digest.h"
+#include "request/shutdown_schedule.h"
+#include "request/truth.h"
 
 #include <algorithm>
 #include <utility>
@@ -50,7 +52,9 @@
 void entry_core::handle(const caller_request& event)
 {
     if (const auto notice = refuse_at_admission(event)) {
-        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        auto answer = failure_answer(event.caller, *notice, new_request_id());
+        add_sunset(answer.headers);
+        actions_.emplace_back(std::move(answer));
         return;
     }
     const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
@@ -68,13 +72,13 @@
 std::optional<failure_notice> entry_core::refuse_at_admission(const caller_request& input) const
 {
     if (configuration_ == nullptr) {
-        return failure_notice{result_code::not_ready, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::not_ready, input, default_retry_after);
     }
-    if (configuration_->shutdown.ends_at && now_ >= *configuration_->shutdown.ends_at) {
-        return failure_notice{result_code::shut_down, ran_state::no, duration::zero(), ""};
+    if (has_ended(configuration_->shutdown, now_)) {
+        return refusal(result_code::shut_down, input, duration::zero());
     }
     if (draining_) {
-        return failure_notice{result_code::leaving, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::leaving, input, default_retry_after);
     }
     if (configuration_->find_workspace_by_key(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
@@ -89,12 +93,23 @@
     if (rules->key_required && input.idempotency_key.empty()) {
         return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
     }
+    if (!admits(configuration_->shutdown, *rules, now_)) {
+        return refusal(result_code::shut_down, input, duration::zero());
+    }
     if (requests_.size() >= settings_.max_requests) {
-        return failure_notice{result_code::table_full, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::table_full, input, default_retry_after);
     }
     return std::nullopt;
 }
 
+failure_notice entry_core::refusal(result_code code, const caller_request& input, duration retry_after) const
+{
+    // Without a configuration the class is not known; a key may then name a run.
+    const auto* rules = configuration_ == nullptr ? nullptr : class_of(input);
+    const bool keyed = rules == nullptr ? !input.idempotency_key.empty() : is_keyed_run(*rules, input);
+    return {code, keyed ? ran_for_key(code, ran_state::no) : ran_state::no, retry_after, ""};
+}
+
 entry_core::request_ptr entry_core::admit(const caller_request& input, const request_class& rules,
                                           const workspace& owner)
 {
@@ -107,6 +122,7 @@
     request->fingerprint = sha256_hex({owner.name, input.path, input.body});
     request->arrived = now_;
     request->deadline_at = now_ + std::min(rules.deadline, input.deadline.value_or(rules.deadline));
+    request->deadline_at = std::min(request->deadline_at, configuration_->shutdown.ends_at.value_or(never));
     request->target_at = now_ + rules.first_token_target;
     request->deadline_timer =
         timers_.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
@@ -179,7 +195,7 @@
 {
     const bool out_of_patience = now_ >= request->arrived + settings_.placement_patience;
     if (out_of_patience) {
-        fail(request, {request->last_refusal, request->dispatches == 0 ? ran_state::no : ran_state::yes,
+        fail(request, {request->last_refusal, ran_state::no,
                        std::max(request->last_retry_after, default_retry_after), ""});
         return;
     }
@@ -215,6 +231,7 @@
     request->running = running_attempt{granted.vm, granted.attempt};
     ++request->dispatches;
     request->received = 0;
+    request->status = 0;
     dispatch_message message;
     message.attempt = granted.attempt;
     message.method = request->input.method;
@@ -300,6 +317,9 @@
 void entry_core::on_message(const std::string& vm, const granted_message& message)
 {
     const auto request = find_attempt(message.attempt);
+    if (request != nullptr && is_running(*request, message.attempt)) {
+        return; // A repetition of the grant that was taken.
+    }
     if (request == nullptr || request->running) {
         actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
         return;
@@ -351,6 +371,9 @@
     if (request == nullptr || !is_running(*request, message.attempt)) {
         return;
     }
+    if (message.offset + message.bytes.size() <= request->received) {
+        return; // Delivered before.
+    }
     if (message.offset != request->received) {
         // A gap or a repetition can only come from a fault of the peer; the answer would not be the
         // upstream's.
@@ -385,7 +408,16 @@
 
 header_list entry_core::answer_headers(const entry_request& request) const
 {
-    return {{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
+    header_list headers{{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
+    add_sunset(headers);
+    return headers;
+}
+
+void entry_core::add_sunset(header_list& headers) const
+{
+    if (configuration_ != nullptr && configuration_->shutdown.ends_at) {
+        headers.emplace_back("Sunset", http_date(*configuration_->shutdown.ends_at));
+    }
 }
 
 void entry_core::send_head(entry_request& request)
@@ -443,9 +475,10 @@
     finish(request, result_code::ok, ran_state::yes);
 }
 
-bool entry_core::may_start_again(const entry_request& request) const
+bool entry_core::may_start_again(const entry_request& request, ran_state ran) const
 {
-    return request.rules.repeat != repeat_rule::never && !request.head_sent && !request.caller_left &&
+    const bool may_repeat = request.rules.repeat != repeat_rule::never || ran == ran_state::no;
+    return may_repeat && !request.head_sent && !request.caller_left &&
            request.dispatches < settings_.max_dispatches;
 }
 
@@ -456,7 +489,8 @@
     request->running.reset();
     record(*request, "request.attempt_lost", lost.vm, std::string(describe(code).name));
     request->last_refusal = code;
-    if (!may_start_again(*request)) {
+    request->ran = std::max(request->ran, ran);
+    if (!may_start_again(*request, ran)) {
         fail(request, {code, ran, duration::zero(), ""});
         return;
     }
@@ -468,18 +502,26 @@
 void entry_core::on_deadline(const request_ptr& request)
 {
     request->deadline_timer = 0;
-    auto ran = request->dispatches == 0 ? ran_state::no : ran_state::unknown;
-    if (request->running && request->running->started) {
-        ran = ran_state::yes;
+    auto ran = ran_state::no;
+    if (request->running) {
+        // Only the upstream's own answer proves that the request reached it.
+        ran = request->status != 0 ? ran_state::yes : ran_state::unknown;
     }
     fail(request, {result_code::deadline_expired, ran, duration::zero(), ""});
 }
 
-void entry_core::fail(const request_ptr& request, const failure_notice& notice)
+void entry_core::fail(const request_ptr& request, const failure_notice& cause)
 {
+    auto notice = cause;
+    notice.ran = std::max(request->ran, cause.ran);
+    if (is_keyed_run(request->rules, request->input)) {
+        notice.ran = ran_for_key(cause.code, notice.ran);
+    }
     if (!request->caller_left) {
         if (!request->head_sent) {
-            actions_.emplace_back(failure_answer(request->input.caller, notice, request->id));
+            auto answer = failure_answer(request->input.caller, notice, request->id);
+            add_sunset(answer.headers);
+            actions_.emplace_back(std::move(answer));
         } else if (is_stream(request->content_type)) {
             actions_.emplace_back(
                 answer_bytes{request->input.caller, failure_stream_event(notice, request->id)});
@@ -534,11 +576,9 @@
     }
     const auto request = found->second;
     request->caller_left = true;
-    const bool runs_to_its_end = request->running && request->rules.repeat == repeat_rule::never;
-    if (!runs_to_its_end) {
-        finish(request, result_code::cancelled,
-               request->dispatches == 0 ? ran_state::no : ran_state::unknown);
-    }
+    // A never-repeat run goes on at its upstream daemon, which keeps the outcome.
+    const auto ran = request->running ? ran_state::unknown : ran_state::no;
+    finish(request, result_code::cancelled, std::max(request->ran, ran));
 }
 
 void entry_core::handle(const configuration_applied& event)
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -72,6 +72,7 @@
     void on_message(const std::string& vm, const finished_message& message);
 
     std::optional<failure_notice> refuse_at_admission(const caller_request& input) const;
+    failure_notice refusal(result_code code, const caller_request& input, duration retry_after) const;
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
     const request_class* class_of(const caller_request& input) const;
 
@@ -86,7 +87,7 @@
     void deliver(entry_request& request, std::string bytes);
     void send_head(entry_request& request);
     void attempt_lost(const request_ptr& request, result_code code, ran_state ran);
-    bool may_start_again(const entry_request& request) const;
+    bool may_start_again(const entry_request& request, ran_state ran) const;
     void on_deadline(const request_ptr& request);
     void fail(const request_ptr& request, const failure_notice& notice);
     void complete(const request_ptr& request);
@@ -94,6 +95,7 @@
 
     request_ptr find_attempt(attempt_id attempt) const;
     bool is_running(const entry_request& request, attempt_id attempt) const;
+    void add_sunset(header_list& headers) const;
     void record(const entry_request& request, std::string kind, std::string upstream, std::string detail);
     header_list answer_headers(const entry_request& request) const;
     std::string new_request_id();
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -39,6 +39,7 @@
     std::vector<reservation> reservations;
     std::optional<running_attempt> running;
     std::uint32_t dispatches{0};
+    ran_state ran{ran_state::no}; ///< Known of the attempts that have ended.
     bool caller_left{false};
     bool head_sent{false};
     std::uint16_t status{0};
--- a/request/run_record.h
+++ b/request/run_record.h
@@ -35,6 +35,7 @@
     std::uint64_t incarnation{0};
     run_phase phase{run_phase::started};
     result_code code{result_code::ok}; ///< Of the finished attempt.
+    ran_state ran{ran_state::yes};     ///< Of the finished attempt.
     std::optional<stored_answer> answer;
     bool operator==(const run_record&) const = default;
 };
--- a/request/upstream_attempt.h
+++ b/request/upstream_attempt.h
@@ -14,7 +14,8 @@
 enum class attempt_phase : std::uint8_t {
     queued,   ///< Waits for a slot.
     granted,  ///< Holds a slot and waits for the dispatch.
-    claiming, ///< Holds a slot and waits for the run record to be inserted.
+    claiming, ///< Waits for the run record to be inserted; holds no slot meanwhile.
+    claimed,  ///< Owns its run record and is next to get a slot.
     running,  ///< The engine has it.
     watching  ///< Another attempt owns the run record; waits for its outcome.
 };
@@ -35,7 +36,9 @@
     std::uint32_t tokens{0};
     std::uint16_t status{0};
     std::string content_type;
-    std::string kept_answer; ///< Of a keyed request, for its resends.
+    std::string kept_answer;    ///< Of a keyed request, for its resends.
+    bool answer_dropped{false}; ///< The answer has grown past what is kept.
+    time_point watching_since{never};
     timer_service::timer_id timer{0};
 };
 
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -1,25 +1,33 @@
 #include "request/upstream_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace clementinegap {
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr duration announce_interval = seconds(60);
 
 } // namespace
 
-upstream_core::upstream_core(upstream_settings settings) : settings_(std::move(settings)) {}
+upstream_core::upstream_core(upstream_settings settings)
+    : settings_(std::move(settings)), claims_(settings_.claims)
+{
+}
 
 std::span<const upstream_action> upstream_core::on_event(const upstream_event& event, time_point now)
 {
     actions_.clear();
     now_ = std::max(now_, now);
     timers_.run_due(now_);
+    claims_.on_time(now_);
     std::visit([this](const auto& value) { handle(value); }, event);
     give_out_slots();
     publish_load();
+    std::ranges::move(claims_.take_actions(), std::back_inserter(actions_));
+    finish_drain_when_idle();
     return actions_;
 }
 
@@ -39,6 +47,7 @@
     hello.leaving = draining_;
     actions_.emplace_back(send_to_entry{event.session, hello});
     actions_.emplace_back(send_to_entry{event.session, current_load()});
+    announce_incarnation();
 }
 
 void upstream_core::handle(const entry_disconnected& event)
@@ -54,7 +63,7 @@
         const bool runs_to_its_end =
             attempt->phase == attempt_phase::running && attempt->reservation.never_repeat;
         if (runs_to_its_end) {
-            attempt->detached = true;
+            detach(*attempt);
             record(*attempt, "run.detached", "the entry is gone and the request may not be repeated");
             continue;
         }
@@ -84,12 +93,12 @@
     attempt->credit = settings_.initial_credit;
     if (draining_) {
         send(*attempt, refused_message{message.attempt, result_code::leaving, duration::zero()});
-        remember(message.attempt);
+        remember(message.attempt, ran_state::no);
         return;
     }
     if (queued() >= settings_.max_queue) {
         send(*attempt, refused_message{message.attempt, result_code::overloaded, default_retry_after});
-        remember(message.attempt);
+        remember(message.attempt, ran_state::no);
         return;
     }
     attempts_.emplace(message.attempt, attempt);
@@ -111,12 +120,13 @@
 {
     const auto attempt = find(message.attempt);
     if (attempt == nullptr) {
-        // Whether it ran is known only while it is remembered; a grant that lapsed never ran.
-        const bool lapsed = ended_.contains(message.attempt);
+        // Whether it ran is known only while it is remembered.
+        const auto ended = ended_.find(message.attempt);
+        const bool never_ran = ended != ended_.end() && ended->second == ran_state::no;
         const auto reply =
-            lapsed ? upstream_message(refused_message{message.attempt, result_code::overloaded, {}})
-                   : upstream_message(
-                         finished_message{message.attempt, result_code::upstream_lost, ran_state::unknown});
+            never_ran ? upstream_message(refused_message{message.attempt, result_code::overloaded, {}})
+                      : upstream_message(finished_message{message.attempt, result_code::upstream_lost,
+                                                          ran_state::unknown});
         actions_.emplace_back(send_to_entry{session, reply});
         return;
     }
@@ -126,6 +136,7 @@
     timers_.cancel(std::exchange(attempt->timer, 0));
     attempt->dispatch = message;
     if (is_keyed(*attempt)) {
+        release_slot(); // The table service may take long; the slot serves others meanwhile.
         claim(attempt);
     } else {
         start(attempt);
@@ -140,7 +151,7 @@
     }
     if (attempt->phase == attempt_phase::running) {
         if (attempt->reservation.never_repeat) {
-            attempt->detached = true;
+            detach(*attempt);
             return;
         }
         actions_.emplace_back(engine_cancel{attempt->id});
@@ -172,6 +183,11 @@
 
 void upstream_core::give_out_slots()
 {
+    while (busy_slots_ < settings_.slots && !claimed_.empty()) {
+        const auto attempt = claimed_.front();
+        claimed_.pop_front();
+        start_claimed(attempt);
+    }
     while (busy_slots_ < settings_.slots) {
         const auto work = std::visit([&](auto& order) { return order.pop(now_); }, settings_.order);
         if (!work) {
@@ -204,8 +220,7 @@
 
 bool upstream_core::holds_slot(const upstream_attempt& attempt) const
 {
-    return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::claiming ||
-           attempt.phase == attempt_phase::running;
+    return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::running;
 }
 
 void upstream_core::release_slot()
@@ -236,79 +251,116 @@
 void upstream_core::claim(const attempt_ptr& attempt)
 {
     attempt->phase = attempt_phase::claiming;
-    actions_.emplace_back(claim_run{record_of(*attempt)});
+    if (!claims_.claim(record_of(*attempt), now_)) {
+        refuse(attempt, result_code::overloaded, default_retry_after);
+        return;
+    }
     record(*attempt, "run.claiming", "");
 }
 
 void upstream_core::handle(const claim_answered& event)
+{
+    apply(claims_.on_answer(event, now_));
+}
+
+void upstream_core::handle(const record_read& event)
 {
     const auto attempt = find(event.attempt);
-    if (attempt == nullptr || attempt->phase != attempt_phase::claiming) {
+    if (attempt == nullptr || attempt->phase != attempt_phase::watching) {
+        apply(claims_.on_answer(event, now_));
         return;
     }
-    switch (event.result) {
-    case store_result::done:
-        start(attempt);
+    if (event.result == store_result::done) {
+        watch(attempt, event.record);
+    } else if (event.result == store_result::absent) {
+        // The other attempt gave its claim back without having run, so this one may try.
+        attempt->watching_since = never;
+        claim(attempt);
+    } else {
+        watch_later(attempt);
+    }
+}
+
+void upstream_core::handle(const finish_answered& event)
+{
+    claims_.on_answer(event, now_);
+}
+
+void upstream_core::handle(const release_answered& event)
+{
+    apply(claims_.on_answer(event, now_));
+}
+
+void upstream_core::apply(const std::optional<claim_verdict>& verdict)
+{
+    const auto attempt = verdict ? find(verdict->attempt) : nullptr;
+    if (attempt == nullptr) {
+        return;
+    }
+    switch (verdict->what) {
+    case claim_verdict::kind::won:
+        attempt->phase = attempt_phase::claimed;
+        claimed_.push_back(attempt);
         return;
-    case store_result::exists:
-        watch(attempt, event.existing);
+    case claim_verdict::kind::found:
+        watch(attempt, verdict->record);
         return;
-    case store_result::absent:
-    case store_result::unavailable:
+    case claim_verdict::kind::failed:
         refuse(attempt, result_code::store_unavailable, default_retry_after);
         return;
-    case store_result::unknown:
-        actions_.emplace_back(
-            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
+    case claim_verdict::kind::released:
+        refuse(attempt, result_code::upstream_failed, default_retry_after);
         return;
     }
 }
 
-void upstream_core::handle(const record_read& event)
+void upstream_core::start_claimed(const attempt_ptr& attempt)
 {
-    const auto attempt = find(event.attempt);
-    if (attempt == nullptr) {
+    if (attempt->phase != attempt_phase::claimed) {
         return;
     }
-    if (attempt->phase == attempt_phase::watching) {
-        watch(attempt, event.record);
-        return;
-    }
-    if (attempt->phase != attempt_phase::claiming) {
+    if (now_ >= attempt->deadline_at) {
+        refuse(attempt, result_code::deadline_expired, duration::zero());
         return;
     }
-    if (event.result == store_result::absent) {
-        claim(attempt);
-    } else if (event.result != store_result::done) {
-        actions_.emplace_back(
-            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
-    } else if (event.record.attempt == event.attempt) {
-        start(attempt);
-    } else {
-        watch(attempt, event.record);
-    }
+    ++busy_slots_;
+    start(attempt);
 }
 
 void upstream_core::watch(const attempt_ptr& attempt, const run_record& record_found)
 {
-    if (holds_slot(*attempt)) {
-        release_slot();
-    }
     attempt->phase = attempt_phase::watching;
-    if (record_found.fingerprint != attempt->reservation.fingerprint) {
-        refuse(attempt, result_code::key_reused, duration::zero());
+    attempt->watching_since = std::min(attempt->watching_since, now_);
+    const auto* here = claims_.own(record_found.workspace, record_found.key);
+    const auto& known = here != nullptr ? *here : record_found;
+    const bool ended = known.phase == run_phase::finished;
+    if (known.fingerprint != attempt->reservation.fingerprint) {
+        // A started record may yet be given back, after which a delayed send of this body may run.
+        finish(attempt, result_code::key_reused, ended ? ran_state::no : ran_state::unknown);
         return;
     }
-    if (record_found.phase == run_phase::finished) {
-        answer_from(attempt, record_found);
+    if (ended) {
+        answer_from(attempt, known);
         return;
     }
-    if (now_ + settings_.watch_interval >= attempt->deadline_at) {
+    const bool owner_is_gone = here == nullptr && owners_.is_gone(known.upstream, known.incarnation);
+    const bool out_of_patience = here == nullptr && now_ >= attempt->watching_since + settings_.watch_limit;
+    if (owner_is_gone || out_of_patience || now_ + settings_.watch_interval >= attempt->deadline_at) {
         finish(attempt, result_code::outcome_unknown, ran_state::unknown);
         return;
     }
+    watch_later(attempt);
+}
+
+void upstream_core::watch_later(const attempt_ptr& attempt)
+{
+    timers_.cancel(attempt->timer);
     attempt->timer = timers_.schedule(now_ + settings_.watch_interval, [this, attempt](time_point) {
         attempt->timer = 0;
+        if (now_ >= attempt->watching_since + settings_.watch_limit + settings_.watch_limit) {
+            finish(attempt, result_code::outcome_unknown, ran_state::unknown);
+            return;
+        }
         actions_.emplace_back(
             read_run{attempt->reservation.attempt, attempt->reservation.workspace, attempt->reservation.key});
     });
@@ -317,10 +369,12 @@
 void upstream_core::answer_from(const attempt_ptr& attempt, const run_record& record_found)
 {
     record(*attempt, "run.answered_from_record", record_found.upstream);
-    if (record_found.code != result_code::ok || !record_found.answer) {
-        finish(attempt,
-               record_found.code == result_code::ok ? result_code::outcome_unknown : record_found.code,
-               ran_state::yes);
+    if (record_found.code != result_code::ok) {
+        finish(attempt, result_code::outcome_unknown, record_found.ran);
+        return;
+    }
+    if (!record_found.answer) {
+        finish(attempt, result_code::answer_not_kept, ran_state::yes);
         return;
     }
     const auto id = attempt->reservation.attempt;
@@ -329,11 +383,6 @@
     finish(attempt, result_code::ok, ran_state::yes);
 }
 
-void upstream_core::handle(const finish_answered& /*event*/)
-{
-    // The outcome is on record, or a resend will be told that it is unknown.
-}
-
 // --- Runs at the engine
 // ---------------------------------------------------------------------------------------
 
@@ -396,12 +445,26 @@
 
 void upstream_core::keep(upstream_attempt& attempt, const std::string& bytes)
 {
-    if (!is_keyed(attempt) || attempt.kept_answer.size() > settings_.max_kept_answer) {
+    if (!is_keyed(attempt) || attempt.answer_dropped) {
+        return;
+    }
+    if (attempt.kept_answer.size() + bytes.size() > settings_.max_kept_answer) {
+        attempt.answer_dropped = true;
+        attempt.kept_answer = {};
         return;
     }
     attempt.kept_answer += bytes;
 }
 
+void upstream_core::detach(upstream_attempt& attempt)
+{
+    attempt.detached = true;
+    // Nobody gives credit any more, and a run that is not read would never end.
+    if (std::exchange(attempt.on_hold, false)) {
+        actions_.emplace_back(engine_read{attempt.id});
+    }
+}
+
 void upstream_core::handle(const engine_ended& event)
 {
     const auto found = runs_.find(event.run);
@@ -411,21 +474,36 @@
     const auto attempt = found->second;
     switch (event.kind) {
     case engine_end_kind::complete:
-        store_outcome(*attempt, result_code::ok);
+        store_outcome(*attempt, result_code::ok, ran_state::yes);
         finish(attempt, result_code::ok, ran_state::yes);
         return;
     case engine_end_kind::not_reached:
-        store_outcome(*attempt, result_code::upstream_failed);
-        finish(attempt, result_code::upstream_failed, ran_state::no);
+        end_without_answer(attempt);
         return;
-    case engine_end_kind::broken:
-        finish(attempt, attempt->sent == 0 ? result_code::upstream_failed : result_code::answer_truncated,
-               attempt->sent == 0 ? ran_state::unknown : ran_state::yes);
+    case engine_end_kind::broken: {
+        const bool silent = attempt->sent == 0 && attempt->tokens == 0;
+        const auto code = silent ? result_code::upstream_failed : result_code::answer_truncated;
+        const auto ran = silent ? ran_state::unknown : ran_state::yes;
+        store_outcome(*attempt, code, ran);
+        finish(attempt, code, ran);
         return;
     }
+    }
+}
+
+void upstream_core::end_without_answer(const attempt_ptr& attempt)
+{
+    if (!is_keyed(*attempt)) {
+        finish(attempt, result_code::upstream_failed, ran_state::no);
+        return;
+    }
+    // The record is given back first, so that the next attempt finds the key free.
+    release_slot();
+    attempt->phase = attempt_phase::claiming;
+    claims_.release(attempt->reservation.attempt, now_);
 }
 
-void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code)
+void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code, ran_state ran)
 {
     if (!is_keyed(attempt)) {
         return;
@@ -433,10 +511,11 @@
     auto row = record_of(attempt);
     row.phase = run_phase::finished;
     row.code = code;
-    if (attempt.kept_answer.size() <= settings_.max_kept_answer) {
+    row.ran = ran;
+    if (code == result_code::ok && !attempt.answer_dropped) {
         row.answer = stored_answer{attempt.status, attempt.content_type, attempt.kept_answer};
     }
-    actions_.emplace_back(finish_run{std::move(row)});
+    claims_.finish(row, now_);
 }
 
 // --- Ends
@@ -465,20 +544,22 @@
     if (holds_slot(*attempt)) {
         release_slot();
     }
+    if (attempt->phase == attempt_phase::claiming || attempt->phase == attempt_phase::claimed) {
+        claims_.abandon(attempt->reservation.attempt, now_);
+        std::erase(claimed_, attempt);
+    }
     if (attempt->phase == attempt_phase::queued) {
         std::visit([&](auto& order) { order.erase(attempt->id); }, settings_.order);
     }
     runs_.erase(attempt->id);
     attempts_.erase(attempt->reservation.attempt);
-    remember(attempt->reservation.attempt);
-    if (draining_ && attempts_.empty()) {
-        actions_.emplace_back(drained{});
-    }
+    const bool ran = attempt->phase == attempt_phase::running;
+    remember(attempt->reservation.attempt, ran ? ran_state::unknown : ran_state::no);
 }
 
-void upstream_core::remember(attempt_id attempt)
+void upstream_core::remember(attempt_id attempt, ran_state ran)
 {
-    if (!ended_.insert(attempt).second) {
+    if (!ended_.emplace(attempt, ran).second) {
         return;
     }
     ended_order_.push_back(attempt);
@@ -504,9 +585,18 @@
     for (const auto& attempt : waiting) {
         refuse(attempt, result_code::leaving, duration::zero());
     }
-    if (waiting.empty() && attempts_.empty()) {
-        actions_.emplace_back(drained{});
+    drain_gives_up_at_ = now_ + settings_.drain_patience;
+    timers_.schedule(drain_gives_up_at_, [](time_point) {});
+}
+
+void upstream_core::finish_drain_when_idle()
+{
+    const bool idle = attempts_.empty() && (claims_.empty() || now_ >= drain_gives_up_at_);
+    if (!draining_ || drained_said_ || !idle) {
+        return;
     }
+    drained_said_ = true;
+    actions_.emplace_back(drained{});
 }
 
 // --- The rest
@@ -521,9 +611,18 @@
     }
 }
 
-void upstream_core::handle(const soft_item_seen& /*event*/)
+void upstream_core::announce_incarnation()
+{
+    if (announced_at_ != time_point{} && now_ < announced_at_ + announce_interval) {
+        return;
+    }
+    announced_at_ = now_;
+    actions_.emplace_back(publish_item{owner_item(settings_.vm, settings_.incarnation)});
+}
+
+void upstream_core::handle(const soft_item_seen& event)
 {
-    // No policy of this core uses soft state yet.
+    owners_.on_item(event.item);
 }
 
 void upstream_core::handle(const tick& /*event*/)
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -2,9 +2,12 @@
 
 #include "core/timer_service.h"
 #include "policy/work_order.h"
+#include "request/owner_directory.h"
+#include "request/run_claims.h"
 #include "request/upstream_attempt.h"
 #include "request/upstream_events.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -30,6 +33,9 @@
     std::size_t max_kept_answer{65536}; ///< Bytes of an answer that are kept for resends.
     duration grant_timeout{milliseconds(500)};
     duration watch_interval{milliseconds(100)};
+    duration watch_limit{seconds(5)};     ///< A run elsewhere that shows no end for so long is unknown.
+    duration drain_patience{seconds(30)}; ///< How long a drain waits for outcomes to reach the table service.
+    run_claims_settings claims;
     std::int64_t initial_credit{262144};
     work_order order{tiered_order{}};
 };
@@ -43,9 +49,11 @@
     /// Takes one event and returns what is to be done; the span is valid until the next call.
     std::span<const upstream_action> on_event(const upstream_event& event, time_point now);
 
-    time_point next_due() const { return timers_.next_due(); }
+    time_point next_due() const { return std::min(timers_.next_due(), claims_.next_due()); }
     std::size_t queued() const;
     std::uint32_t busy_slots() const { return busy_slots_; }
+    /// Run records whose claim, outcome or removal the table service has not confirmed.
+    std::size_t open_records() const { return claims_.size(); }
     bool ready() const { return !draining_; }
 
 private:
@@ -60,6 +68,7 @@
     void handle(const claim_answered& event);
     void handle(const record_read& event);
     void handle(const finish_answered& event);
+    void handle(const release_answered& event);
     void handle(const configuration_applied& event);
     void handle(const drain_started& event);
     void handle(const soft_item_seen& event);
@@ -73,15 +82,22 @@
     void give_out_slots();
     void grant(const attempt_ptr& attempt);
     void claim(const attempt_ptr& attempt);
+    void apply(const std::optional<claim_verdict>& verdict);
+    void start_claimed(const attempt_ptr& attempt);
+    void detach(upstream_attempt& attempt);
+    void end_without_answer(const attempt_ptr& attempt);
+    void announce_incarnation();
+    void finish_drain_when_idle();
     void start(const attempt_ptr& attempt);
     void watch(const attempt_ptr& attempt, const run_record& record);
+    void watch_later(const attempt_ptr& attempt);
     void answer_from(const attempt_ptr& attempt, const run_record& record);
     void relay(upstream_attempt& attempt, const std::string& bytes, std::uint32_t tokens);
     void keep(upstream_attempt& attempt, const std::string& bytes);
 
     void refuse(const attempt_ptr& attempt, result_code code, duration retry_after);
     void finish(const attempt_ptr& attempt, result_code code, ran_state ran);
-    void store_outcome(const upstream_attempt& attempt, result_code code);
+    void store_outcome(const upstream_attempt& attempt, result_code code, ran_state ran);
     void forget(const attempt_ptr& attempt);
     void release_slot();
     bool holds_slot(const upstream_attempt& attempt) const;
@@ -93,7 +109,7 @@
     load_message current_load() const;
     void record(const upstream_attempt& attempt, std::string kind, std::string detail);
     attempt_ptr find(attempt_id attempt) const;
-    void remember(attempt_id attempt);
+    void remember(attempt_id attempt, ran_state ran);
 
     upstream_settings settings_;
     timer_service timers_;
@@ -102,12 +118,18 @@
     std::set<session_id> sessions_;
     std::map<attempt_id, attempt_ptr> attempts_;
     std::unordered_map<run_id, attempt_ptr> runs_;
-    std::set<attempt_id> ended_;
+    run_claims claims_;
+    owner_directory owners_;
+    std::deque<attempt_ptr> claimed_;
+    std::map<attempt_id, ran_state> ended_;
     std::deque<attempt_id> ended_order_;
     std::uint32_t busy_slots_{0};
     std::uint64_t last_id_{0};
     load_message published_;
     bool draining_{false};
+    bool drained_said_{false};
+    time_point drain_gives_up_at_{never};
+    time_point announced_at_{};
     std::vector<upstream_action> actions_;
 };
 
--- a/request/upstream_events.h
+++ b/request/upstream_events.h
@@ -77,9 +77,16 @@
     store_result result{store_result::done};
 };
 
-using upstream_event = std::variant<entry_connected, entry_disconnected, entry_said, engine_head,
-                                    engine_bytes, engine_ended, claim_answered, record_read, finish_answered,
-                                    configuration_applied, drain_started, soft_item_seen, tick>;
+/// The answer to `release_run`: `absent` when no record was there, `exists` when it was not the own one.
+struct release_answered {
+    attempt_id attempt;
+    store_result result{store_result::done};
+};
+
+using upstream_event =
+    std::variant<entry_connected, entry_disconnected, entry_said, engine_head, engine_bytes, engine_ended,
+                 claim_answered, record_read, finish_answered, release_answered, configuration_applied,
+                 drain_started, soft_item_seen, tick>;
 
 struct send_to_entry {
     session_id session{0};
@@ -136,8 +143,13 @@
     run_record record;
 };
 
-using upstream_action =
-    std::variant<send_to_entry, engine_start, engine_cancel, engine_hold, engine_read, engine_pause,
-                 engine_resume, claim_run, read_run, finish_run, emit_record, publish_item, drained>;
+/// Removes the record of an own attempt that never started.
+struct release_run {
+    run_record record;
+};
+
+using upstream_action = std::variant<send_to_entry, engine_start, engine_cancel, engine_hold, engine_read,
+                                     engine_pause, engine_resume, claim_run, read_run, finish_run,
+                                     release_run, emit_record, publish_item, drained>;
 
 } // namespace clementinegap
--- a/tests/fakes/fake_deployment.cpp
+++ b/tests/fakes/fake_deployment.cpp
@@ -3,6 +3,7 @@
 #include "core/checked_json.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace clementinegap {
 namespace {
@@ -110,6 +111,9 @@
 
 void fake_deployment::hang_up(caller_id caller)
 {
+    auto& seen = transcripts_.at(caller);
+    seen.aborted = true;
+    seen.ended_at = now();
     deliver(entry_of_caller_.at(caller), entry_event(caller_gone{caller}));
 }
 
@@ -271,6 +275,7 @@
                           [&](const claim_run& value) { table_.claim(value.record, tell); },
                           [&](const read_run& value) { table_.read(value, tell); },
                           [&](const finish_run& value) { table_.finish(value.record, tell); },
+                          [&](const release_run& value) { table_.release(value.record, tell); },
                           [&](const emit_record& value) { records_.push_back(value.record); },
                           [&](const publish_item& value) { perform(vm, entry_action(value)); },
                           [&](const drained&) { drained_.insert(vm); }},
@@ -287,6 +292,9 @@
         delay += duration(std::uniform_int_distribution<std::int64_t>(0, link_jitter_.count())(random_));
     }
     last = std::max(last, now() + delay);
+    if (duplicates_ > 0 && std::uniform_int_distribution<int>(0, 99)(random_) < duplicates_) {
+        scheduler_.after(last - now(), arrive);
+    }
     scheduler_.after(last - now(), std::move(arrive));
 }
 
@@ -418,6 +426,56 @@
     open_links();
 }
 
+std::vector<std::string> fake_deployment::entries() const
+{
+    std::vector<std::string> result;
+    for (const auto& [vm, node] : entries_) {
+        result.push_back(vm);
+    }
+    return result;
+}
+
+std::vector<std::string> fake_deployment::upstreams() const
+{
+    std::vector<std::string> result;
+    for (const auto& [vm, node] : upstreams_) {
+        result.push_back(vm);
+    }
+    return result;
+}
+
+bool fake_deployment::is_alive(const std::string& vm) const
+{
+    const auto entry = entries_.find(vm);
+    return entry != entries_.end() ? entry->second.core != nullptr : upstreams_.at(vm).core != nullptr;
+}
+
+void fake_deployment::mend_everything()
+{
+    table_.set_outage(false);
+    table_.lose_answers(0);
+    table_.delay_effects(0, duration::zero());
+    for (auto& [name, connection] : links_) {
+        connection.cut = false;
+    }
+    auto daemons = entries();
+    std::ranges::copy(upstreams(), std::back_inserter(daemons));
+    for (const auto& vm : daemons) {
+        thaw(vm);
+        if (is_alive(vm) && is_drained(vm)) {
+            crash(vm);
+        }
+        if (!is_alive(vm)) {
+            restart(vm);
+        }
+    }
+    for (const auto& [vm, node] : upstreams_) {
+        node.engine->recover();
+        node.engine->set_slow(1);
+    }
+    open_links();
+}
+
 void fake_deployment::drain(const std::string& vm)
 {
     if (entries_.contains(vm)) {
--- a/tests/fakes/fake_deployment.h
+++ b/tests/fakes/fake_deployment.h
@@ -81,6 +81,14 @@
     void set_link_delay(duration delay) { link_delay_ = delay; }
     /// Each message takes up to this much longer, still in order on its link.
     void set_link_jitter(duration jitter) { link_jitter_ = jitter; }
+    /// Of 100 messages this many arrive twice.
+    void set_duplicates(int percent) { duplicates_ = percent; }
+    std::vector<std::string> entries() const;
+    std::vector<std::string> upstreams() const;
+    bool is_alive(const std::string& vm) const;
+    bool is_frozen(const std::string& vm) const { return frozen_.contains(vm); }
+    /// Mends everything that was broken: thaws, heals, restarts and recovers, also daemons that were drained.
+    void mend_everything();
 
 private:
     struct entry_node {
@@ -132,6 +140,7 @@
     session_id last_session_{0};
     duration link_delay_{500};
     duration link_jitter_{0};
+    int duplicates_{0};
     std::uint64_t soft_sequence_{0};
 };
 
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -44,6 +44,7 @@
         });
         return;
     }
+    ++starts_;
     ++executions_[action.body];
     if (!crash_on_.empty() && action.body.find(crash_on_) != std::string::npos) {
         runs_.emplace(id, std::make_shared<run_state>(run_state{id, action.body}));
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -47,6 +47,8 @@
     void truncate_next(int count) { truncate_ = count; }
 
     const std::map<std::string, int>& executions() const { return executions_; }
+    /// How many runs were begun.
+    std::uint64_t starts() const { return starts_; }
     std::uint64_t tokens_produced() const { return tokens_produced_; }
     std::size_t running() const;
     double slow() const { return slow_; }
@@ -81,6 +83,7 @@
     std::map<run_id, run_ptr> runs_;
     std::vector<run_ptr> waiting_;
     std::map<std::string, int> executions_;
+    std::uint64_t starts_{0};
     std::uint64_t tokens_produced_{0};
     double slow_{1};
     bool down_{false};
--- a/tests/fakes/fake_table.cpp
+++ b/tests/fakes/fake_table.cpp
@@ -21,27 +21,42 @@
     return true;
 }
 
-void fake_table::claim(const run_record& record, const tell_function& tell)
+void fake_table::change_later(const tell_function& tell, const upstream_event& unknown,
+                              const std::function<upstream_event()>& change)
 {
+    if (late_ > 0) {
+        --late_;
+        scheduler_.after(latency_ + late_by_, [change] { change(); });
+        scheduler_.after(latency_ + latency_, [tell, unknown] { tell(unknown); });
+        return;
+    }
     // The change takes effect half-way, so that a crash can fall before or after it.
-    scheduler_.after(latency_, [this, record, tell] {
-        if (outage_) {
-            answer(tell, claim_answered{record.attempt, store_result::unavailable, {}});
-            return;
-        }
-        const auto [row, fresh] = rows_.emplace(place(record.workspace, record.key), record);
-        ++writes_;
-        if (loses_answer()) {
-            scheduler_.after(answer_timeout_, [tell, attempt = record.attempt] {
-                tell(claim_answered{attempt, store_result::unknown, {}});
-            });
-            return;
+    scheduler_.after(latency_, [this, tell, unknown, change] {
+        const bool certain = outage_;
+        const auto event = change();
+        if (!certain && loses_answer()) {
+            scheduler_.after(answer_timeout_, [tell, unknown] { tell(unknown); });
+        } else {
+            answer(tell, event);
         }
-        answer(tell, fresh ? claim_answered{record.attempt, store_result::done, {}}
-                           : claim_answered{record.attempt, store_result::exists, row->second});
     });
 }
 
+void fake_table::claim(const run_record& record, const tell_function& tell)
+{
+    const auto attempt = record.attempt;
+    change_later(tell, claim_answered{attempt, store_result::unknown, {}},
+                 [this, record]() -> upstream_event {
+                     if (outage_) {
+                         return claim_answered{record.attempt, store_result::unavailable, {}};
+                     }
+                     const auto [row, fresh] = rows_.emplace(place(record.workspace, record.key), record);
+                     ++writes_;
+                     return fresh ? claim_answered{record.attempt, store_result::done, {}}
+                                  : claim_answered{record.attempt, store_result::exists, row->second};
+                 });
+}
+
 void fake_table::read(const read_run& action, const tell_function& tell)
 {
     scheduler_.after(latency_, [this, action, tell] {
@@ -58,22 +73,50 @@
 
 void fake_table::finish(const run_record& record, const tell_function& tell)
 {
-    scheduler_.after(latency_, [this, record, tell] {
-        if (outage_) {
-            answer(tell, finish_answered{record.attempt, store_result::unavailable});
-            return;
-        }
-        const auto found = rows_.find(place(record.workspace, record.key));
-        const bool own = found != rows_.end() && found->second.attempt == record.attempt;
-        if (own) {
-            found->second = record;
-            ++writes_;
-        }
-        if (loses_answer()) {
-            return;
-        }
-        answer(tell, finish_answered{record.attempt, own ? store_result::done : store_result::exists});
-    });
+    change_later(tell, finish_answered{record.attempt, store_result::unknown},
+                 [this, record]() -> upstream_event {
+                     if (outage_) {
+                         return finish_answered{record.attempt, store_result::unavailable};
+                     }
+                     const auto found = rows_.find(place(record.workspace, record.key));
+                     const bool own = found != rows_.end() && found->second.attempt == record.attempt;
+                     if (own) {
+                         found->second = record;
+                         ++writes_;
+                     }
+                     return finish_answered{record.attempt, own ? store_result::done : store_result::exists};
+                 });
+}
+
+void fake_table::release(const run_record& record, const tell_function& tell)
+{
+    change_later(tell, release_answered{record.attempt, store_result::unknown},
+                 [this, record]() -> upstream_event {
+                     if (outage_) {
+                         return release_answered{record.attempt, store_result::unavailable};
+                     }
+                     const auto found = rows_.find(place(record.workspace, record.key));
+                     if (found == rows_.end()) {
+                         return release_answered{record.attempt, store_result::absent};
+                     }
+                     const bool own =
+                         found->second.attempt == record.attempt && found->second.phase == run_phase::started;
+                     if (own) {
+                         rows_.erase(found);
+                         ++writes_;
+                     }
+                     return release_answered{record.attempt, own ? store_result::done : store_result::exists};
+                 });
+}
+
+void fake_table::settle(const std::string& workspace, const std::string& key, ran_state ran)
+{
+    const auto found = rows_.find(place(workspace, key));
+    if (found != rows_.end()) {
+        found->second.phase = run_phase::finished;
+        found->second.code = result_code::outcome_unknown;
+        found->second.ran = ran;
+    }
 }
 
 } // namespace clementinegap
--- a/tests/fakes/fake_table.h
+++ b/tests/fakes/fake_table.h
@@ -19,11 +19,21 @@
     void claim(const run_record& record, const tell_function& tell);
     void read(const read_run& action, const tell_function& tell);
     void finish(const run_record& record, const tell_function& tell);
+    void release(const run_record& record, const tell_function& tell);
+
+    /// An operator settles the record: it ends with `ran`, without an answer.
+    void settle(const std::string& workspace, const std::string& key, ran_state ran);
 
     void set_outage(bool outage) { outage_ = outage; }
     void set_latency(duration latency) { latency_ = latency; }
     /// The next `count` changes take effect, but their answers do not arrive.
     void lose_answers(int count) { lose_ = count; }
+    /// The next `count` changes are reported as unknown at once and take effect only after `delay`.
+    void delay_effects(int count, duration delay)
+    {
+        late_ = count;
+        late_by_ = delay;
+    }
 
     const std::map<std::string, run_record>& rows() const { return rows_; }
     std::uint64_t writes() const { return writes_; }
@@ -32,6 +42,9 @@
 private:
     void answer(const tell_function& tell, upstream_event event);
     bool loses_answer();
+    /// Runs `change` half-way through the latency, or late after the answer `unknown`.
+    void change_later(const tell_function& tell, const upstream_event& unknown,
+                      const std::function<upstream_event()>& change);
     static std::string place(const std::string& workspace, const std::string& key);
 
     manual_scheduler& scheduler_;
@@ -40,6 +53,8 @@
     duration answer_timeout_{seconds(2)};
     bool outage_{false};
     int lose_{0};
+    int late_{0};
+    duration late_by_{0};
     std::uint64_t writes_{0};
     std::uint64_t reads_{0};
 };
--- a/tests/fakes/manual_scheduler.h
+++ b/tests/fakes/manual_scheduler.h
@@ -13,6 +13,7 @@
     void after(duration delay, std::function<void()> call);
     /// Runs everything up to `end` and stops there.
     void run_until(time_point end);
+    time_point next_due() const { return timers_.next_due(); }
     /// Runs the next function; false when there is none.
     bool step();
 
