--- a/tests/fakes/truth_oracle.cpp
+++ b/tests/fakes/truth_oracle.cpp
@@ -174,7 +174,8 @@
         }
         const auto& core = deployment_.core_of_upstream(vm);
         if (core.queued() > 0 || core.busy_slots() > 0) {
-            faults_.push_back(vm + " still holds work");
+            faults_.push_back(vm + " still holds " + std::to_string(core.queued()) + " queued, " +
+                              std::to_string(core.busy_slots()) + " slots");
         }
         if (core.open_records() > 0) {
             faults_.push_back(vm + " still holds run records");
--- a/tests/request/test_random_schedules.cpp
+++ b/tests/request/test_random_schedules.cpp
@@ -62,6 +62,9 @@
             return oracle_.check().front();
         }
         const auto& faults = oracle_.check_end();
+        if (!faults.empty()) {
+            print_records();
+        }
         return faults.empty() ? "" : faults.front();
     }
 
