--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -28,6 +28,12 @@
     return text;
 }
 
+/// What is known of a dispatched attempt: only the upstream's own answer proves that the request reached it.
+ran_state ran_so_far(const entry_request& request)
+{
+    return request.status != 0 ? ran_state::yes : ran_state::unknown;
+}
+
 bool serves(const upstream_view& view, std::string_view model)
 {
     return std::ranges::find(view.models, model) != view.models.end();
@@ -273,7 +279,7 @@
     }
     for (const auto& [attempt, request] : affected) {
         if (is_running(*request, attempt)) {
-            attempt_lost(request, result_code::upstream_lost, ran_state::unknown);
+            attempt_lost(request, result_code::upstream_lost, ran_so_far(*request));
         } else {
             drop_reservation(request, attempt);
         }
@@ -504,8 +510,7 @@
     request->deadline_timer = 0;
     auto ran = ran_state::no;
     if (request->running) {
-        // Only the upstream's own answer proves that the request reached it.
-        ran = request->status != 0 ? ran_state::yes : ran_state::unknown;
+        ran = ran_so_far(*request);
     }
     fail(request, {result_code::deadline_expired, ran, duration::zero(), ""});
 }
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -826,11 +826,21 @@
 {
     if (configuration_ == nullptr || event.value->version > configuration_->version) {
         configuration_ = event.value;
+        plan_shutdown();
         actions_.emplace_back(emit_record{
             {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
     }
 }
 
+void upstream_core::plan_shutdown()
+{
+    timers_.cancel(std::exchange(shutdown_timer_, 0));
+    if (const auto ends_at = configuration_->shutdown.ends_at) {
+        // Nothing is admitted that runs past the date; what is left then is finished like at any other stop.
+        shutdown_timer_ = timers_.schedule(*ends_at, [this](time_point) { handle(drain_started{}); });
+    }
+}
+
 void upstream_core::announce_incarnation()
 {
     if (announced_at_ != time_point{} && now_ < announced_at_ + announce_interval) {
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -99,6 +99,7 @@
     void start_claimed(const attempt_ptr& attempt);
     void detach(upstream_attempt& attempt);
     void end_without_answer(const attempt_ptr& attempt);
+    void plan_shutdown();
     void announce_incarnation();
     void finish_drain_when_idle();
     void start(const attempt_ptr& attempt);
@@ -150,6 +151,7 @@
     load_message published_;
     bool draining_{false};
     bool drained_said_{false};
+    timer_service::timer_id shutdown_timer_{0};
     time_point drain_gives_up_at_{never};
     time_point announced_at_{};
     std::vector<upstream_action> actions_;
