--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,6 +1,8 @@
 #include "request/entry_core.h"
 
 #include "core/digest.h"
+#include "request/decision_reason.h"
+#include "request/model_list.h"
 #include "request/shutdown_schedule.h"
 #include "request/truth.h"
 
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr duration quarantine_retry_after = std::chrono::minutes(10);
 constexpr std::string_view stream_content_type = "text/event-stream";
 
 bool is_stream(std::string_view content_type)
@@ -58,14 +61,21 @@
 void entry_core::handle(const caller_request& event)
 {
     if (const auto notice = refuse_at_admission(event)) {
-        auto answer = failure_answer(event.caller, *notice, new_request_id());
+        const auto id = new_request_id();
+        auto answer = failure_answer(event.caller, *notice, id);
         add_sunset(answer.headers);
         actions_.emplace_back(std::move(answer));
+        actions_.emplace_back(emit_record{{"request.refused_at_admission", id, event.class_name, "", "",
+                                           std::string(describe(notice->code).name)}});
+        return;
+    }
+    if (event.path == models_path) {
+        actions_.emplace_back(model_list_answer(event.caller, upstreams_, new_request_id()));
         return;
     }
     const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
     const auto request = admit(event, *class_of(event), owner);
-    record(*request, "request.admitted", "", "class " + request->rules.name);
+    record(*request, "request.admitted", "", admission_reason(*request));
     place(request);
 }
 
@@ -89,6 +99,12 @@
     if (configuration_->find_workspace_by_key(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
     }
+    if (!input.bad_header.empty()) {
+        return failure_notice{result_code::bad_header, ran_state::no, duration::zero(), input.bad_header};
+    }
+    if (input.path == models_path) {
+        return std::nullopt;
+    }
     if (input.malformed) {
         return failure_notice{result_code::malformed_body, ran_state::no, duration::zero(), ""};
     }
@@ -96,6 +112,9 @@
     if (rules == nullptr) {
         return failure_notice{result_code::unknown_class, ran_state::no, duration::zero(), ""};
     }
+    if (!input.model.empty() && !is_known_model(input.model, *configuration_, upstreams_)) {
+        return failure_notice{result_code::unknown_model, ran_state::no, duration::zero(), ""};
+    }
     if (rules->key_required && input.idempotency_key.empty()) {
         return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
     }
@@ -154,6 +173,10 @@
 
 void entry_core::place(const request_ptr& request)
 {
+    if (poison_.is_quarantined(request->fingerprint, now_)) {
+        fail(request, {result_code::quarantined, ran_state::no, quarantine_retry_after, ""});
+        return;
+    }
     const auto possible = candidates(*request);
     if (possible.empty()) {
         place_later(request);
@@ -194,7 +217,7 @@
     message.starvation_bound = request->rules.starvation_bound;
     message.prefix_hashes = request->input.prefix_hashes;
     actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
-    record(*request, "request.reserved", view.vm, "");
+    record(*request, "request.reserved", view.vm, reservation_reason(view, settings_.zone));
 }
 
 void entry_core::place_later(const request_ptr& request)
@@ -238,6 +261,7 @@
     ++request->dispatches;
     request->received = 0;
     request->status = 0;
+    request->first_dispatch_at = std::min(request->first_dispatch_at, now_);
     dispatch_message message;
     message.attempt = granted.attempt;
     message.method = request->input.method;
@@ -340,7 +364,7 @@
     if (request == nullptr) {
         return;
     }
-    record(*request, "request.refused", vm, std::string(describe(message.code).name));
+    record(*request, "request.refused", vm, refusal_reason(message));
     request->last_refusal = message.code;
     request->last_retry_after = message.retry_after;
     if (is_running(*request, message.attempt)) {
@@ -391,7 +415,7 @@
     request->tokens = message.tokens;
     if (request->first_token_at == never) {
         request->first_token_at = now_;
-        record(*request, "request.first_token", vm, "");
+        record(*request, "request.first_token", vm, target_reason(*request));
     }
     deliver(*request, message.bytes);
 }
@@ -501,7 +525,7 @@
         return;
     }
     request->held.clear();
-    request->tokens = 0;
+    request->wasted_tokens += std::exchange(request->tokens, 0);
     place(request);
 }
 
@@ -559,6 +583,10 @@
     measured.first_token = has_token ? request->first_token_at - request->arrived : duration::zero();
     measured.total = now_ - request->arrived;
     measured.tokens = request->tokens;
+    measured.tier = request->rules.tier;
+    measured.queue_wait = std::min(request->first_dispatch_at, now_) - request->arrived;
+    measured.dispatches = request->dispatches;
+    measured.wasted_tokens = request->wasted_tokens + (code == result_code::ok ? 0 : request->tokens);
     measured.target_met =
         code == result_code::ok && has_token && request->first_token_at <= request->target_at;
     actions_.emplace_back(measured);
@@ -609,9 +637,9 @@
     }
 }
 
-void entry_core::handle(const soft_item_seen& /*event*/)
+void entry_core::handle(const soft_item_seen& event)
 {
-    // No policy of this core uses soft state yet.
+    poison_.on_item(event.item, now_);
 }
 
 void entry_core::handle(const tick& /*event*/)
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "policy/poison.h"
 #include "policy/slot_policy.h"
 #include "policy/work_order.h"
 #include "request/owner_directory.h"
@@ -113,6 +114,8 @@
     void finish(const attempt_ptr& attempt, result_code code, ran_state ran);
     void store_outcome(const upstream_attempt& attempt, result_code code, ran_state ran);
     void note_engine_health(engine_end_kind kind);
+    void blame_running_work();
+    bool must_wait_alone(const upstream_attempt& attempt) const;
     void forget(const attempt_ptr& attempt);
     void release_slot(upstream_attempt& attempt);
     /// Gives up the attempt's slot or its place in the queue.
@@ -141,6 +144,9 @@
     run_claims claims_;
     owner_directory owners_;
     std::deque<attempt_ptr> claimed_;
+    poison_book poison_;
+    std::vector<attempt_ptr> parked_; ///< Suspects that wait until another suspect has ended.
+    time_point blamed_at_{};
     std::map<attempt_id, ran_state> ended_;
     std::deque<attempt_id> ended_order_;
     std::uint32_t busy_slots_{0};
--- a/tests/fakes/truth_oracle.h
+++ b/tests/fakes/truth_oracle.h
@@ -33,6 +33,7 @@
         std::string expected;
         std::size_t checked_bytes{0};
         bool closed{false};
+        int ran_before{0}; ///< Runs that earlier sends of the body account for; a request without a key is its own.
     };
 
     void check_answer(sent_request& request);
@@ -44,7 +45,7 @@
     fake_deployment& deployment_;
     std::vector<sent_request> sent_;
     std::map<std::string, std::vector<std::string>> bodies_of_key_;
-    std::map<std::string, std::string> told_not_run_; ///< Body to the key it was sent under.
+    std::map<std::string, int> told_not_run_; ///< Body to the runs that it had when its caller was told.
     std::uint64_t starts_seen_{0};
     std::vector<std::string> faults_;
 };
