--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -164,7 +164,7 @@
     const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
     std::vector<const upstream_view*> result;
     for (const auto& [vm, view] : upstreams_) {
-        if (view.connected && !view.leaving && serves(view, model)) {
+        if (view.connected && !view.leaving && !leaving_upstreams_.contains(vm) && serves(view, model)) {
             result.push_back(&view);
         }
     }
@@ -287,7 +287,9 @@
     if (found == upstreams_.end()) {
         return;
     }
-    found->second.connected = false;
+    if (std::exchange(found->second.connected, false)) {
+        actions_.emplace_back(emit_record{{"upstream.disconnected", "", "", "", event.vm, ""}});
+    }
     std::vector<std::pair<attempt_id, request_ptr>> affected;
     for (const auto& item : attempts_) {
         const attempt_id attempt = item.first;
@@ -310,6 +312,27 @@
     }
 }
 
+void entry_core::handle(const upstream_leaving& event)
+{
+    if (!event.is_leaving) {
+        leaving_upstreams_.erase(event.vm);
+        return;
+    }
+    leaving_upstreams_.insert(event.vm);
+    std::vector<std::pair<attempt_id, request_ptr>> waiting;
+    for (const auto& [attempt, request] : attempts_) {
+        for (const auto& open : request->reservations) {
+            if (open.attempt == attempt && open.vm == event.vm) {
+                waiting.emplace_back(attempt, request);
+            }
+        }
+    }
+    for (const auto& [attempt, request] : waiting) {
+        actions_.emplace_back(send_to_upstream{event.vm, cancel_message{attempt}});
+        drop_reservation(request, attempt);
+    }
+}
+
 void entry_core::handle(const upstream_said& event)
 {
     std::visit([&](const auto& message) { on_message(event.vm, message); }, event.message);
@@ -328,6 +351,8 @@
     view.queued = 0;
     view.leaving = message.leaving;
     view.connected = true;
+    actions_.emplace_back(emit_record{{"upstream.connected", "", "", "", vm,
+                                       std::to_string(message.slots) + " slots, zone " + message.zone}});
 }
 
 void entry_core::on_message(const std::string& vm, const load_message& message)
@@ -340,7 +365,10 @@
     view.free_slots = message.free_slots;
     view.queued = message.queued;
     view.expected_wait = message.expected_wait;
-    view.slowed = message.slowed;
+    if (std::exchange(view.slowed, message.slowed) != message.slowed) {
+        actions_.emplace_back(
+            emit_record{{message.slowed ? "upstream.slowed" : "upstream.recovered", "", "", "", vm, ""}});
+    }
     view.leaving = message.leaving;
 }
 
