--- a/cluster/cluster_core.cpp
+++ b/cluster/cluster_core.cpp
@@ -452,11 +452,8 @@
     }
     if (verdict == configuration_spread::verdict::applied) {
         act(apply_configuration{spread_.current()});
-        record("configuration.applied", "version " + std::to_string(spread_.head().version));
         for (const auto& [address, peer] : peers_) {
-            if (address != source) {
-                act(send_to_peer{address, beat_message(true)});
-            }
+            act(send_to_peer{address, beat_message(true)});
         }
     }
     seek_configuration();
--- a/main/command_config.h
+++ b/main/command_config.h
@@ -4,10 +4,10 @@
 
 namespace clementinegap {
 
-/// `config generate|check|submit|show`.
-exit_code config_command(const std::vector<std::string>& words);
+/// `config generate|check|diff|submit|show|history`.
+exit_code config_command(const parsed_words& words);
 
-/// `questionnaire check`.
-exit_code questionnaire_command(const std::vector<std::string>& words);
+/// `questionnaire new|check|show`.
+exit_code questionnaire_command(const parsed_words& words);
 
 } // namespace clementinegap
--- a/main/daemon_base.cpp
+++ b/main/daemon_base.cpp
@@ -49,7 +49,7 @@
     : settings_(std::move(values)), events_(settings_.vm, settings_.timeline_capacity),
       platform_(std::make_unique<platform_client>(settings_.platform_url, settings_.platform_timeout)),
       runtime_([this] { begin_stop("signal"); },
-               [] { log_info("reload.requested", "keys are read again at the next connection"); }),
+               [] { log_info("reload.requested", "keys are read again when their files change"); }),
       cluster_(cluster_core(cluster_settings_of(settings_)), cluster_ring_capacity,
                [this](const cluster_action& action, time_point now) { perform(action, now); })
 {
@@ -127,15 +127,13 @@
 
 outcome<peer_credentials> daemon_base::load_peer_credentials() const
 {
-    peer_credentials result;
-    if (settings_.peer_certificate_file.empty()) {
-        return result;
+    for (const auto& file :
+         {settings_.peer_ca_file, settings_.peer_certificate_file, settings_.peer_key_file}) {
+        if (!file.empty()) {
+            BOOST_OUTCOME_TRY(read_file(file));
+        }
     }
-    BOOST_OUTCOME_TRY(ca, read_file(settings_.peer_ca_file));
-    BOOST_OUTCOME_TRY(certificate, read_file(settings_.peer_certificate_file));
-    BOOST_OUTCOME_TRY(key, read_file(settings_.peer_key_file));
-    result = {std::move(ca), std::move(certificate), std::move(key)};
-    return result;
+    return peer_credentials{settings_.peer_ca_file, settings_.peer_certificate_file, settings_.peer_key_file};
 }
 
 outcome<void> daemon_base::start_overlay()
@@ -173,6 +171,8 @@
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/json"}}, status().dump());
     } else if (request.path == "/drain" && request.method == "POST") {
         on_drain(request);
+    } else if (request.path == "/orders" && request.method == "POST" && take_order(request)) {
+        return;
     } else if (request.path == "/timeline") {
         admin_.answer(request.exchange, http_ok, {{"Content-Type", "application/x-ndjson"}},
                       events_.json_lines(request.query["request"]));
@@ -181,6 +181,16 @@
     }
 }
 
+void daemon_base::answer_admin(const http_request& request, result_code code)
+{
+    const auto& entry = describe(code);
+    const json body{{"code", static_cast<int>(code)},
+                    {"name", std::string(entry.name)},
+                    {"text", std::string(entry.text)}};
+    admin_.answer(request.exchange, code == result_code::ok ? http_ok : entry.http_status,
+                  {{"Content-Type", "application/json"}}, body.dump());
+}
+
 void daemon_base::on_drain(const http_request& request)
 {
     const http_server::headers text{{"Content-Type", "text/plain; charset=utf-8"}};
@@ -227,6 +237,7 @@
 std::string daemon_base::metrics_text()
 {
     metrics_.set("clementinegap_timeline_dropped", static_cast<double>(events_.dropped()));
+    metrics_.set("clementinegap_configuration_version", static_cast<double>(version_.load()));
     return metrics_.text();
 }
 
@@ -285,8 +296,6 @@
 
 void daemon_base::report(const cluster_core& core)
 {
-    metrics_.set("clementinegap_configuration_version",
-                 static_cast<double>(core.configuration().head().version));
     metrics_.set("clementinegap_members", static_cast<double>(core.members().fleet_size()));
     metrics_.set("clementinegap_overlay_peers", static_cast<double>(core.connected()));
     metrics_.set("clementinegap_overlay_items", static_cast<double>(core.items().size()));
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -31,7 +31,8 @@
                  [this](const upstream_action& action, time_point now) { perform(action, now); }),
       runs_(*platform_, [this](upstream_event event) { return decisions_.post(std::move(event)); }),
       engine_(settings_.engine_url,
-              [this](upstream_event event) { return decisions_.post(std::move(event)); })
+              [this](upstream_event event) { return decisions_.post(std::move(event)); }),
+      orders_(*platform_, settings_.vm, settings_.engine_url)
 {
 }
 
@@ -49,6 +50,7 @@
         observe(core);
     });
     decisions_.start();
+    orders_.start();
     peers_->also_serve(overlay().service());
     return peers_->start(settings_.peer_address);
 }
@@ -63,9 +65,16 @@
     if (peers_) {
         peers_->stop();
     }
+    orders_.stop();
     decisions_.stop();
 }
 
+bool upstream_daemon::take_order(const http_request& request)
+{
+    orders_.take(request.body, [this, request](result_code code) { answer_admin(request, code); });
+    return true;
+}
+
 void upstream_daemon::configure(configuration_ptr value)
 {
     decisions_.post(configuration_applied{std::move(value)});
--- a/main/upstream_daemon.h
+++ b/main/upstream_daemon.h
@@ -5,6 +5,7 @@
 #include "adapters/peer_server.h"
 #include "adapters/run_store.h"
 #include "main/daemon_base.h"
+#include "main/order_service.h"
 #include "request/upstream_core.h"
 
 #include <memory>
@@ -27,6 +28,7 @@
     void members_moved(const std::vector<member_view>& members) override;
     void item_seen(const soft_item& item) override;
     bool ready() const override { return ready_; }
+    bool take_order(const http_request& request) override;
 
 private:
     using thread = decision_thread<upstream_core, upstream_event, upstream_action>;
@@ -38,6 +40,7 @@
     thread decisions_;
     run_store runs_;
     engine_gateway engine_;
+    order_service orders_;
     std::unique_ptr<peer_server> peers_;
     std::atomic<bool> ready_{false};
     time_point observed_at_{};
