--- a/slopes/slope_suite.cpp
+++ b/slopes/slope_suite.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/peer_codec.h"
 #include "adapters/run_record_codec.h"
+#include "cluster/cluster_core.h"
 #include "config/configuration_builder.h"
 #include "core/digest.h"
 #include "slopes/request_pipeline.h"
@@ -353,6 +354,49 @@
               cpu_of(repeats, [&](int /*round*/) { counts.request_ended(request); }));
 }
 
+spread_item member_statement(std::size_t index)
+{
+    member_info info;
+    info.vm = "upstream-" + std::to_string(index);
+    info.role = "upstream";
+    info.zone = "zone-1";
+    info.region = "region-1";
+    info.address = "10.1." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":7000";
+    info.models = {"assistant"};
+    soft_item item{info.vm, 1, 1, "member", info.vm, to_item_value(info), std::chrono::hours(1)};
+    return {std::move(item), false, ""};
+}
+
+void add_members(slope_table& table)
+{
+    constexpr std::size_t members = 960;
+    constexpr int watched_seconds = 60;
+    constexpr int ticks_per_second = 20;
+    cluster_settings settings;
+    settings.self.vm = "entry-1";
+    settings.self.role = "entry";
+    cluster_core core(settings);
+    time_point now(seconds(1000));
+    core.on_event(tick{}, now);
+    core.on_event(peer_connected{"10.1.0.1:7000"}, now);
+    const auto before = live_bytes();
+    table.add("member.cpu", "member, each statement taken", "us", cpu_of(members, [&](int index) {
+                  const items_message message{{member_statement(static_cast<std::size_t>(index))}};
+                  core.on_event(peer_said{"10.1.0.1:7000", message}, now);
+              }));
+    table.add("member.memory", "member of the cluster", "bytes",
+              static_cast<double>(live_bytes() - before) / members);
+    const auto second = cpu_of(watched_seconds, [&](int /*round*/) {
+        for (int i = 0; i < ticks_per_second; ++i) {
+            now += seconds(1) / ticks_per_second;
+            core.on_event(tick{}, now);
+        }
+        core.on_event(peer_said{"10.1.0.1:7000", heartbeat_message{}}, now);
+    });
+    table.add("member.idle_cpu", "second of the cluster core with 960 members and one neighbour", "us",
+              second);
+}
+
 void add_sessions(slope_table& table)
 {
     constexpr int sessions = 200;
@@ -374,6 +418,7 @@
         add_daemon(table);
         add_run_record(table);
         add_observability(table);
+        add_members(table);
     }
     add_sessions(table);
     return table.medians();
