--- a/observability/timeline_explanation.cpp
+++ b/observability/timeline_explanation.cpp
@@ -96,6 +96,26 @@
            span_line("in all", admitted, ended);
 }
 
+/// Why the first token was late: the longest of the spans before it; empty when it was in time.
+std::string lateness(std::span<const timeline_event> events)
+{
+    const auto* admitted = first_of(events, "request.admitted");
+    const auto* dispatched = last_of(events, "request.dispatched");
+    const auto* started = last_of(events, "request.started");
+    const auto* token = first_of(events, "request.first_token");
+    if (token == nullptr || !token->record.detail.starts_with("late") || admitted == nullptr ||
+        dispatched == nullptr || started == nullptr) {
+        return "";
+    }
+    const std::array causes{
+        std::pair(dispatched->at.wall - admitted->at.wall, "it waited for a slot"sv),
+        std::pair(started->at.wall - dispatched->at.wall, "the upstream daemon was slow to start it"sv),
+        std::pair(token->at.wall - started->at.wall, "the engine was slow to give the first token"sv)};
+    const auto longest = std::ranges::max(causes);
+    return "Its first token was " + token->record.detail + ", mostly because " + std::string(longest.second) +
+           " (" + milliseconds_text(longest.first) + ").\n";
+}
+
 std::string verdict(std::span<const timeline_event> events)
 {
     if (const auto* refused = first_of(events, "request.refused_at_admission")) {
@@ -105,7 +125,7 @@
     if (ended == nullptr) {
         return "It has not ended, or its end is no longer in the entry's ring.\n";
     }
-    std::string text = "It ended: " + ended->record.detail + ".\n";
+    std::string text = "It ended: " + ended->record.detail + ".\n" + lateness(events);
     if (const auto* dispatched = last_of(events, "request.dispatched")) {
         text += "It was on " + dispatched->record.upstream + " because: " + dispatched->record.detail + ".\n";
     } else if (const auto* refused = last_of(events, "request.refused")) {
--- a/tests/observability/test_timeline.cpp
+++ b/tests/observability/test_timeline.cpp
@@ -141,11 +141,17 @@
     entry.add(make_record("request.refused", "r1", "upstream-1", "overloaded"), time_point(seconds(11)));
     entry.add(make_record("request.dispatched", "r1", "upstream-2", "first upstream to grant a slot"),
               time_point(seconds(12)));
+    entry.add(make_record("request.started", "r1", "upstream-2"), time_point(milliseconds(12100)));
+    entry.add(make_record("request.first_token", "r1", "upstream-2", "late: 2300 ms, target 330 ms"),
+              time_point(milliseconds(12300)));
     entry.add(make_record("request.ended", "r1", "", "ok, ran yes"), time_point(seconds(13)));
     const auto events = read(entry);
     const auto text = explain_request(events);
     BOOST_TEST(text.find("It was on upstream-2 because: first upstream to grant a slot.") !=
                std::string::npos);
+    BOOST_TEST(
+        text.find("Its first token was late: 2300 ms, target 330 ms, mostly because it waited for a slot "
+                  "(2000.0 ms).") != std::string::npos);
     BOOST_TEST(text.find("waiting for a slot, until the last dispatch: 2000.0 ms") != std::string::npos);
     BOOST_TEST(text.find("upstream-1 would not take it (overloaded)") != std::string::npos);
 }
