Process tests without a use after move that the linter sees

Cause: clang-tidy reported bugprone-use-after-move in tests/process/test_slow_reader.cpp. Change: the outcome of the start is named before it is checked. Conclusion: none further.

--- a/tests/process/test_slow_reader.cpp
+++ b/tests/process/test_slow_reader.cpp
@@ -17,7 +17,8 @@
         http_server_events events;
         events.on_request = [this](const http_request& request) { start(request.exchange); };
         events.on_drained = [this](exchange_id, std::uint32_t bytes) { drained_ += bytes; };
-        BOOST_REQUIRE(server_.start({}, std::move(events)));
+        const auto started = server_.start({}, std::move(events));
+        BOOST_REQUIRE(started.has_value());
     }
     flood_engine(const flood_engine&) = delete;
     flood_engine& operator=(const flood_engine&) = delete;
@@ -107,7 +108,8 @@
     std::atomic<exchange_id> exchange{0};
     http_server_events events;
     events.on_request = [&](const http_request& request) { exchange = request.exchange; };
-    BOOST_REQUIRE(server.start({}, std::move(events)));
+    const auto started = server.start({}, std::move(events));
+    BOOST_REQUIRE(started.has_value());
     raw_connection caller(server.port());
     caller.send(request_text("GET", "/", ""));
     BOOST_REQUIRE(eventually([&] { return exchange != 0; }));
