--- a/misc/deployment.sh
+++ b/misc/deployment.sh
@@ -4,7 +4,7 @@
 bin=${BUILD:-build}/bin
 platform_port=$base
 platform_url=http://127.0.0.1:$platform_port
-declare -A pid_of=()
+declare -gA pid_of=()
 
 # run NAME COMMAND...: starts a process in the background, its output in $out/NAME.log.
 run() {
--- a/misc/experiment.sh
+++ b/misc/experiment.sh
@@ -21,7 +21,7 @@
     started=$(date +%s.%N)
     for item in $replacements; do
         now=$(date +%s.%N)
-        at=$(awk "BEGIN {d = ${item%%:*} - ($now - $started); print d > 0 ? d : 0}")
+        at=$(awk "BEGIN {d = ${item%%:*} - ($now - $started); print (d > 0 ? d : 0)}")
         sleep "$at"
         stop "${item#*:}" || echo "${item#*:} did not stop gracefully" >&2
         run "${item#*:}" "$bin/clementinegapd" --settings "$out/${item#*:}.settings.json"
