--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -2,6 +2,7 @@
 
 #include "core/timer_service.h"
 #include "policy/placement.h"
+#include "policy/poison.h"
 #include "policy/upstream_view.h"
 #include "request/entry_events.h"
 #include "request/entry_request.h"
@@ -108,6 +109,7 @@
     std::map<std::string, upstream_view, std::less<>> upstreams_;
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
+    poison_book poison_;
     std::uint64_t last_attempt_{0};
     std::uint64_t last_request_{0};
     bool draining_{false};
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr duration crash_window = seconds(1); ///< Runs that break within it broke in the same crash.
 constexpr duration announce_interval = seconds(60);
 constexpr duration longest_retry_after = seconds(30);
 constexpr int max_refused_at_once = 8;
@@ -121,6 +122,11 @@
         remember(message.attempt, ran_state::no);
         return;
     }
+    if (poison_.is_quarantined(message.fingerprint, now_)) {
+        send(*attempt, refused_message{message.attempt, result_code::quarantined, default_retry_after});
+        remember(message.attempt, ran_state::no);
+        return;
+    }
     attempts_.emplace(message.attempt, attempt);
     auto& work = attempt->work;
     work.id = attempt->id;
@@ -154,7 +160,8 @@
             return false;
         }
         const auto displaced = runs_.at(last->id);
-        record(*displaced, "attempt.displaced", attempt->reservation.request_id);
+        record(*displaced, "attempt.displaced",
+               "the queue is full and request " + attempt->reservation.request_id + " of a higher tier came");
         refuse(displaced, result_code::overloaded, retry_after());
     }
     std::visit([&](auto& order) { order.push(attempt->work); }, settings_.order);
@@ -287,6 +294,10 @@
         refuse(attempt, result_code::deadline_expired, duration::zero());
         return;
     }
+    if (must_wait_alone(*attempt)) {
+        parked_.push_back(attempt);
+        return;
+    }
     slots_.drain().left();
     grant(attempt);
 }
@@ -323,7 +334,7 @@
     work.target_at = now_ + std::max(attempt->reservation.target_left, least_slice_wait);
     std::get<tiered_order>(settings_.order).push(work);
     actions_.emplace_back(engine_pause{attempt->id});
-    record(*attempt, "run.set_aside", "");
+    record(*attempt, "run.set_aside", "its slice ended while other work waited");
 }
 
 void upstream_core::begin_slice(const attempt_ptr& attempt)
@@ -686,6 +697,9 @@
     note_engine_health(event.kind);
     switch (event.kind) {
     case engine_end_kind::complete:
+        if (auto cleared = poison_.ended_well(attempt->reservation.fingerprint, now_)) {
+            actions_.emplace_back(publish_item{std::move(*cleared)});
+        }
         store_outcome(*attempt, result_code::ok, ran_state::yes);
         finish(attempt, result_code::ok, ran_state::yes);
         return;
@@ -693,6 +707,7 @@
         end_without_answer(attempt);
         return;
     case engine_end_kind::broken: {
+        blame_running_work();
         const bool silent = attempt->sent == 0 && attempt->tokens == 0;
         const auto code = silent ? result_code::upstream_failed : result_code::answer_truncated;
         const auto ran = silent ? ran_state::unknown : ran_state::yes;
@@ -715,6 +730,37 @@
     claims_.release(attempt->reservation.attempt, now_);
 }
 
+void upstream_core::blame_running_work()
+{
+    if (blamed_at_ != time_point{} && now_ < blamed_at_ + crash_window) {
+        return;
+    }
+    blamed_at_ = now_;
+    std::vector<std::string> running;
+    for (const auto& [id, attempt] : runs_) {
+        if (at_engine(*attempt)) {
+            running.push_back(attempt->reservation.fingerprint);
+        }
+    }
+    for (auto& item : poison_.crashed(running, now_)) {
+        actions_.emplace_back(publish_item{std::move(item)});
+    }
+}
+
+bool upstream_core::must_wait_alone(const upstream_attempt& attempt) const
+{
+    const auto is_suspect = [this](const upstream_attempt& one) {
+        return poison_.is_suspect(one.reservation.fingerprint, now_);
+    };
+    return is_suspect(attempt) && std::ranges::any_of(runs_, [&](const auto& item) {
+               const auto& other = *item.second;
+               const bool is_out = holds_slot(other) || at_engine(other) ||
+                                   other.phase == attempt_phase::claiming ||
+                                   other.phase == attempt_phase::claimed;
+               return is_out && is_suspect(other);
+           });
+}
+
 void upstream_core::note_engine_health(engine_end_kind kind)
 {
     if (kind == engine_end_kind::complete) {
@@ -749,7 +795,9 @@
 void upstream_core::refuse(const attempt_ptr& attempt, result_code code, duration retry_after)
 {
     send(*attempt, refused_message{attempt->reservation.attempt, code, retry_after});
-    record(*attempt, "attempt.refused", std::string(describe(code).name));
+    record(*attempt, "attempt.refused",
+           std::string(describe(code).name) + ", " + std::to_string(queued()) + " queued, " +
+               std::to_string(current_load().free_slots) + " free slots");
     forget(attempt);
 }
 
@@ -773,6 +821,10 @@
     }
     runs_.erase(attempt->id);
     attempts_.erase(attempt->reservation.attempt);
+    std::erase(parked_, attempt);
+    for (const auto& parked : std::exchange(parked_, {})) {
+        std::visit([&](auto& order) { order.push(parked->work); }, settings_.order);
+    }
     const bool ran = at_engine(*attempt);
     remember(attempt->reservation.attempt, ran ? ran_state::unknown : ran_state::no);
 }
@@ -853,6 +905,7 @@
 void upstream_core::handle(const soft_item_seen& event)
 {
     owners_.on_item(event.item);
+    poison_.on_item(event.item, now_);
     if (is_tiered()) {
         slots_.item_seen(event.item, now_);
     }
