--- a/adapters/run_store.cpp
+++ b/adapters/run_store.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/run_record_codec.h"
 
+#include <map>
+#include <set>
 #include <thread>
 
 namespace clementinegap {
@@ -10,25 +12,71 @@
 
 void run_store::claim(const claim_run& action)
 {
-    const auto& record = action.record;
-    table_operation insert{table_operation::kind::insert, std::string(run_table),
-                           run_row_key(record.workspace, record.key), run_record_to_text(record), 0};
-    table_.transact({std::move(insert)}, [this, attempt = record.attempt](const transaction_result& result) {
-        claim_answered answer{attempt, result.result, {}};
-        if (result.result == store_result::exists) {
-            const auto existing = result.conflicts.empty()
-                                      ? std::nullopt
-                                      : run_record_from_text(result.conflicts.front().value);
-            if (existing) {
-                answer.existing = *existing;
-            } else {
-                answer.result = store_result::unknown;
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.push_back(action.record);
+    }
+    claim_waiting();
+}
+
+void run_store::claim_waiting()
+{
+    std::vector<run_record> records;
+    std::vector<table_operation> inserts;
+    {
+        const std::lock_guard lock(mutex_);
+        if (claiming_ || waiting_.empty()) {
+            return;
+        }
+        std::set<std::string> keys;
+        while (!waiting_.empty() && records.size() < max_claims_together) {
+            const auto& record = waiting_.front();
+            auto key = run_row_key(record.workspace, record.key);
+            if (!keys.insert(key).second) {
+                break; // A second claim of a key must see what became of the first.
             }
+            inserts.push_back({table_operation::kind::insert, std::string(run_table), std::move(key),
+                               run_record_to_text(record), 0});
+            records.push_back(record);
+            waiting_.pop_front();
         }
-        tell(std::move(answer));
+        claiming_ = true;
+    }
+    table_.transact(std::move(inserts), [this, records](const transaction_result& result) {
+        claims_answered(records, result);
+        {
+            const std::lock_guard lock(mutex_);
+            claiming_ = false;
+        }
+        claim_waiting();
     });
 }
 
+void run_store::claims_answered(const std::vector<run_record>& records, const transaction_result& result)
+{
+    std::map<std::string, std::string> standing;
+    for (const auto& row : result.conflicts) {
+        standing.emplace(row.key, row.value);
+    }
+    for (const auto& record : records) {
+        const auto found = standing.find(run_row_key(record.workspace, record.key));
+        if (result.result == store_result::exists && found == standing.end() && !standing.empty()) {
+            // Only the conflict of another claim kept this one from being applied.
+            const std::lock_guard lock(mutex_);
+            waiting_.push_front(record);
+            continue;
+        }
+        claim_answered answer{record.attempt, result.result, {}};
+        if (result.result == store_result::exists) {
+            const auto existing =
+                found == standing.end() ? std::nullopt : run_record_from_text(found->second);
+            answer.result = existing ? store_result::exists : store_result::unknown;
+            answer.existing = existing.value_or(run_record{});
+        }
+        tell(std::move(answer));
+    }
+}
+
 void run_store::read(const read_run& action)
 {
     table_.read(std::string(run_table), run_row_key(action.workspace, action.key),
--- a/policy/poison.h
+++ b/policy/poison.h
@@ -16,7 +16,7 @@
 /// Bounds of the poison book.
 struct poison_settings {
     std::size_t max_fingerprints{4096};
-    std::uint32_t quarantine_at{2};           ///< Crashes under one fingerprint.
+    std::uint32_t quarantine_at{2};              ///< Crashes under one fingerprint.
     duration lifetime{std::chrono::minutes(10)}; ///< A suspicion or quarantine ends after this time.
 };
 
--- a/tests/fakes/truth_oracle.h
+++ b/tests/fakes/truth_oracle.h
@@ -33,7 +33,8 @@
         std::string expected;
         std::size_t checked_bytes{0};
         bool closed{false};
-        int ran_before{0}; ///< Runs that earlier sends of the body account for; a request without a key is its own.
+        int ran_before{
+            0}; ///< Runs that earlier sends of the body account for; a request without a key is its own.
     };
 
     void check_answer(sent_request& request);
