--- a/adapters/peer_codec.cpp
+++ b/adapters/peer_codec.cpp
@@ -122,6 +122,7 @@
     target.set_free_slots(message.free_slots);
     target.set_queued(message.queued);
     target.set_expected_wait_us(message.expected_wait.count());
+    target.set_yields_tier(message.yields_tier);
     target.set_slowed(message.slowed);
     target.set_leaving(message.leaving);
 }
@@ -181,7 +182,11 @@
 
 load_message decode(const wire::load& source)
 {
-    return {source.free_slots(), source.queued(), duration(source.expected_wait_us()), source.slowed(),
+    return {source.free_slots(),
+            source.queued(),
+            duration(source.expected_wait_us()),
+            static_cast<std::uint8_t>(source.yields_tier()),
+            source.slowed(),
             source.leaving()};
 }
 
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -21,6 +21,7 @@
     std::string_view zone; ///< Of the entry daemon.
     std::uint8_t tier{0};
     std::span<const std::uint64_t> prefix_hashes;
+    std::string_view favourite; ///< Upstream that has the prompt's prefix, as far as is known; empty without.
 };
 
 /// Indices into the candidates, the preferred one first.
@@ -34,7 +35,8 @@
 };
 
 /// Asks several upstreams at once, so that the first free slot takes the request whatever the load reports
-/// say: the least expected wait in the entry's own zone, and others at random.
+/// say: the least expected wait, the entry's own zone first among equals, the rest at random. An upstream
+/// that has the prompt's prefix and a free slot is asked alone.
 class late_bound_placement {
 public:
     explicit late_bound_placement(std::size_t width = 3) : width_(width) {}
--- a/policy/slice_book.cpp
+++ b/policy/slice_book.cpp
@@ -50,6 +50,11 @@
     runs_.erase(found);
 }
 
+std::optional<std::uint8_t> slice_book::lowest_yielding() const
+{
+    return yielding_.empty() ? std::nullopt : std::optional(std::get<0>(*yielding_.rbegin()));
+}
+
 std::optional<std::uint64_t> slice_book::victim(std::uint8_t tier) const
 {
     if (!yielding_.empty() && std::get<0>(*yielding_.rbegin()) > tier) {
--- a/policy/slice_book.h
+++ b/policy/slice_book.h
@@ -26,6 +26,8 @@
     void end(std::uint64_t id);
     /// The run that yields to waiting work of `tier`; the lowest tier, and in it the longest slice first.
     std::optional<std::uint64_t> victim(std::uint8_t tier) const;
+    /// The lowest tier of the runs that yield to a tier above them.
+    std::optional<std::uint8_t> lowest_yielding() const;
     /// Slots held by slices of starving classes.
     std::size_t protected_count() const { return protected_.size(); }
 
--- a/policy/upstream_view.h
+++ b/policy/upstream_view.h
@@ -19,6 +19,7 @@
     std::uint32_t free_slots{0};
     std::uint32_t queued{0};
     duration expected_wait{0};
+    std::uint8_t yields_tier{0}; ///< Running work of this tier yields to any above it; 0: none does.
     bool slowed{false};
     bool leaving{false};
     bool connected{false};
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -9,6 +9,17 @@
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr std::int64_t widenings_per_target =
+    12; ///< Further upstreams are asked this often until the target.
+constexpr duration least_widening = milliseconds(5);
+constexpr duration longest_widening = milliseconds(250);
+constexpr std::int64_t urgent_intervals =
+    4; ///< A stream that goes on elsewhere is late after so many tokens.
+constexpr duration stall_check_interval = milliseconds(250);
+constexpr duration least_stall = milliseconds(500);
+constexpr std::int64_t stall_intervals = 20; ///< Missing tokens that make a stall.
+constexpr duration least_retry_after = milliseconds(100);
+constexpr std::uint64_t max_undrained = 65536;
 constexpr std::string_view stream_content_type = "text/event-stream";
 
 bool is_stream(std::string_view content_type)
@@ -33,7 +44,12 @@
 
 } // namespace
 
-entry_core::entry_core(entry_settings settings) : settings_(std::move(settings)), random_(settings_.seed) {}
+entry_core::entry_core(entry_settings settings)
+    : settings_(std::move(settings)), random_(settings_.seed), prefixes_(settings_.max_prefixes),
+      limits_(settings_.vm), retries_(settings_.retry_share, settings_.budget_depth),
+      hedges_(settings_.hedge_share, settings_.budget_depth)
+{
+}
 
 std::span<const entry_action> entry_core::on_event(const entry_event& event, time_point now)
 {
@@ -54,8 +70,18 @@
         return;
     }
     const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
-    const auto request = admit(event, *class_of(event), owner);
+    const auto& rules = *class_of(event);
+    if (const auto notice = refuse_by_limit(owner, rules)) {
+        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        return;
+    }
+    const auto request = admit(event, rules, owner);
     record(*request, "request.admitted", "", "class " + request->rules.name);
+    retries_.request_seen();
+    hedges_.request_seen();
+    if (stall_timer_ == 0 && is_late_bound()) {
+        look_for_stalls();
+    }
     place(request);
 }
 
@@ -95,6 +121,38 @@
     return std::nullopt;
 }
 
+std::optional<failure_notice> entry_core::refuse_by_limit(const workspace& owner, const request_class& rules)
+{
+    for (const auto& limit : owner.limits) {
+        if (!limit.class_name.empty() && limit.class_name != rules.name) {
+            continue;
+        }
+        if (report_timer_ == 0) {
+            report_timer_ = timers_.schedule(now_ + rate_limiter::report_interval(),
+                                             [this](time_point) { report_demand(); });
+        }
+        const auto wait = limits_.refuse(owner.name + '\n' + limit.class_name,
+                                         {limit.requests_per_second, limit.burst}, now_);
+        if (wait) {
+            return failure_notice{result_code::rate_limited, ran_state::no, *wait, ""};
+        }
+    }
+    return std::nullopt;
+}
+
+void entry_core::report_demand()
+{
+    report_timer_ = 0;
+    auto items = limits_.reports_due(now_);
+    for (auto& item : items) {
+        actions_.emplace_back(publish_item{std::move(item)});
+    }
+    if (!items.empty()) {
+        report_timer_ =
+            timers_.schedule(now_ + rate_limiter::report_interval(), [this](time_point) { report_demand(); });
+    }
+}
+
 entry_core::request_ptr entry_core::admit(const caller_request& input, const request_class& rules,
                                           const workspace& owner)
 {
@@ -123,7 +181,11 @@
     const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
     std::vector<const upstream_view*> result;
     for (const auto& [vm, view] : upstreams_) {
-        if (view.connected && !view.leaving && serves(view, model)) {
+        const bool asked =
+            request.refused_by.contains(vm) ||
+            std::ranges::find(request.reservations, vm, &reservation::vm) != request.reservations.end() ||
+            (request.running && request.running->vm == vm);
+        if (view.connected && !view.leaving && !asked && serves(view, model)) {
             result.push_back(&view);
         }
     }
@@ -134,11 +196,13 @@
 {
     const auto possible = candidates(*request);
     if (possible.empty()) {
-        place_later(request);
+        give_up_or_wait(request);
         return;
     }
+    const auto* favourite = is_late_bound() ? prefixes_.favourite(request->input.prefix_hashes) : nullptr;
     const placement_request about{settings_.zone, static_cast<std::uint8_t>(request->rules.tier),
-                                  request->input.prefix_hashes};
+                                  request->input.prefix_hashes,
+                                  favourite == nullptr ? std::string_view() : std::string_view(*favourite)};
     const auto chosen = std::visit(
         [&](const auto& policy) {
             return policy.choose(std::span<const upstream_view* const>(possible), about, random_);
@@ -147,6 +211,36 @@
     for (const auto index : chosen) {
         reserve(request, *possible[index]);
     }
+    widen_later(request);
+}
+
+void entry_core::widen_later(const request_ptr& request)
+{
+    if (!is_late_bound() || request->widen_timer != 0) {
+        return;
+    }
+    const auto step = std::clamp<duration>(request->rules.first_token_target / widenings_per_target,
+                                           least_widening, longest_widening);
+    request->widen_timer = timers_.schedule(now_ + step, [this, request](time_point) {
+        request->widen_timer = 0;
+        if (!request->reservations.empty() && !candidates(*request).empty()) {
+            place(request);
+        }
+    });
+}
+
+void entry_core::give_up_or_wait(const request_ptr& request)
+{
+    if (!request->reservations.empty() || request->running) {
+        return;
+    }
+    if (request->refused_by.empty()) {
+        place_later(request);
+        return;
+    }
+    // Every upstream that it may use has refused it, so waiting would only hold the answer back.
+    fail(request, {request->last_refusal, request->dispatches == 0 ? ran_state::no : ran_state::yes,
+                   std::max(request->longest_refusal, least_retry_after), ""});
 }
 
 void entry_core::reserve(const request_ptr& request, const upstream_view& view)
@@ -154,6 +248,7 @@
     const attempt_id attempt{settings_.incarnation, ++last_attempt_};
     request->reservations.push_back({view.vm, attempt});
     attempts_.emplace(attempt, request);
+    attempts_by_vm_[view.vm].insert(attempt);
     reserve_message message;
     message.attempt = attempt;
     message.request_id = request->id;
@@ -168,7 +263,9 @@
     message.prompt_tokens = request->input.prompt_tokens;
     message.quantum_tokens = request->rules.quantum_tokens;
     message.time_left = request->deadline_at - now_;
-    message.target_left = request->target_at - now_;
+    // A stream that goes on elsewhere has its caller waiting between two tokens.
+    message.target_left = request->head_sent ? urgent_intervals * request->rules.token_interval_target
+                                             : request->target_at - now_;
     message.starvation_bound = request->rules.starvation_bound;
     message.prefix_hashes = request->input.prefix_hashes;
     actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
@@ -195,7 +292,7 @@
         if (except != nullptr && open.attempt == *except) {
             continue;
         }
-        attempts_.erase(open.attempt);
+        forget_attempt(open.vm, open.attempt);
         actions_.emplace_back(send_to_upstream{open.vm, cancel_message{open.attempt}});
     }
     request.reservations.clear();
@@ -203,10 +300,19 @@
 
 void entry_core::drop_reservation(const request_ptr& request, attempt_id attempt)
 {
+    for (const auto& open : request->reservations) {
+        if (open.attempt == attempt) {
+            forget_attempt(open.vm, attempt);
+        }
+    }
     std::erase_if(request->reservations, [&](const reservation& open) { return open.attempt == attempt; });
-    attempts_.erase(attempt);
-    if (request->reservations.empty() && !request->running) {
+    if (!request->reservations.empty() || request->running) {
+        return;
+    }
+    if (request->refused_by.empty()) {
         place_later(request);
+    } else {
+        place(request);
     }
 }
 
@@ -215,16 +321,158 @@
     request->running = running_attempt{granted.vm, granted.attempt};
     ++request->dispatches;
     request->received = 0;
+    request->progress_at = now_;
+    prefixes_.sent(request->input.prefix_hashes, granted.vm);
     dispatch_message message;
     message.attempt = granted.attempt;
     message.method = request->input.method;
     message.path = request->input.path;
     message.content_type = request->input.content_type;
     message.body = request->input.body;
+    message.resume_from_token = request->head_sent ? request->tokens : 0;
+    hedge_later(request);
     actions_.emplace_back(send_to_upstream{granted.vm, std::move(message)});
     record(*request, "request.dispatched", granted.vm, "first upstream to grant a slot");
 }
 
+// --- Moves and hedges
+// -----------------------------------------------------------------------------------------
+
+bool entry_core::may_move(const entry_request& request) const
+{
+    const bool started_over_is_free = !request.head_sent && request.first_token_at == never;
+    return request.running && request.reservations.empty() && !request.hedge && !request.caller_left &&
+           request.rules.repeat != repeat_rule::never && request.moves < settings_.max_moves &&
+           (started_over_is_free || can_resume(request));
+}
+
+void entry_core::move_from(const std::string& vm)
+{
+    const auto attempts = attempts_by_vm_[vm];
+    for (const auto attempt : attempts) {
+        const auto request = find_attempt(attempt);
+        if (request != nullptr && is_running(*request, attempt) && may_move(*request)) {
+            place(request);
+        }
+    }
+}
+
+void entry_core::look_for_stalls()
+{
+    stall_timer_ = 0;
+    std::vector<request_ptr> stalled;
+    for (const auto& [caller, request] : requests_) {
+        const auto patience =
+            std::max<duration>(stall_intervals * request->rules.token_interval_target, least_stall);
+        const auto allowed = request->first_token_at == never
+                                 ? std::max(patience, request->rules.first_token_target)
+                                 : patience;
+        if (request->running && now_ - request->progress_at > allowed && request->undrained < max_undrained &&
+            may_move(*request)) {
+            stalled.push_back(request);
+        }
+    }
+    std::ranges::sort(stalled, {}, &entry_request::id);
+    for (const auto& request : stalled) {
+        record(*request, "request.stalled", request->running->vm, "");
+        place(request);
+    }
+    if (!requests_.empty()) {
+        stall_timer_ =
+            timers_.schedule(now_ + stall_check_interval, [this](time_point) { look_for_stalls(); });
+    }
+}
+
+void entry_core::hedge_later(const request_ptr& request)
+{
+    const bool may_hedge = is_late_bound() && request->rules.repeat == repeat_rule::idempotent &&
+                           request->first_token_at == never && request->hedge_timer == 0;
+    if (!may_hedge) {
+        return;
+    }
+    const auto at = std::max(now_, request->arrived + request->rules.first_token_target / 2);
+    request->hedge_timer = timers_.schedule(at, [this, request](time_point) {
+        request->hedge_timer = 0;
+        const bool at_risk = request->running && request->first_token_at == never && !request->hedge &&
+                             request->reservations.empty();
+        if (at_risk && hedges_.take(static_cast<std::uint8_t>(request->rules.tier))) {
+            place(request);
+        }
+    });
+}
+
+void entry_core::take_over(const request_ptr& request, const attempt_id& granted, const std::string& vm)
+{
+    const bool hedges = request->rules.repeat == repeat_rule::idempotent && request->first_token_at == never;
+    withdraw_reservations(*request, &granted);
+    const auto former = *request->running;
+    if (hedges) {
+        request->running.reset();
+        dispatch(request, {vm, granted});
+        --request->dispatches;
+        request->hedge = std::exchange(request->running, former);
+        record(*request, "request.hedged", vm, "");
+        return;
+    }
+    // The answer goes on from the last whole token that the caller was sent.
+    if (!request->head_sent && request->first_token_at != never) {
+        forget_attempt(vm, granted);
+        actions_.emplace_back(send_to_upstream{vm, cancel_message{granted}});
+        return;
+    }
+    forget_attempt(former.vm, former.attempt);
+    actions_.emplace_back(send_to_upstream{former.vm, cancel_message{former.attempt}});
+    record(*request, "request.moved", vm, "from " + former.vm);
+    request->running.reset();
+    ++request->moves;
+    dispatch(request, {vm, granted});
+    --request->dispatches;
+}
+
+bool entry_core::is_hedge(const entry_request& request, attempt_id attempt) const
+{
+    return request.hedge && request.hedge->attempt == attempt;
+}
+
+void entry_core::settle_hedge(entry_request& request, attempt_id winner)
+{
+    if (!request.hedge) {
+        return;
+    }
+    if (request.hedge->attempt == winner) {
+        const auto slower = *request.running;
+        adopt_hedge(request);
+        request.hedge = slower;
+    }
+    drop_hedge(request);
+}
+
+void entry_core::adopt_hedge(entry_request& request)
+{
+    request.running = std::exchange(request.hedge, std::nullopt);
+    request.received = 0;
+    request.status = request.running->status;
+    request.content_type = request.running->content_type;
+}
+
+void entry_core::drop_hedge(entry_request& request)
+{
+    if (!request.hedge) {
+        return;
+    }
+    forget_attempt(request.hedge->vm, request.hedge->attempt);
+    actions_.emplace_back(send_to_upstream{request.hedge->vm, cancel_message{request.hedge->attempt}});
+    request.hedge.reset();
+}
+
+void entry_core::forget_attempt(const std::string& vm, attempt_id attempt)
+{
+    attempts_.erase(attempt);
+    if (const auto found = attempts_by_vm_.find(vm); found != attempts_by_vm_.end()) {
+        found->second.erase(attempt);
+    }
+}
+
 // --- Messages of upstream daemons
 // -----------------------------------------------------------------------------
 
@@ -241,21 +489,15 @@
         return;
     }
     found->second.connected = false;
-    std::vector<std::pair<attempt_id, request_ptr>> affected;
-    for (const auto& item : attempts_) {
-        const attempt_id attempt = item.first;
-        const request_ptr& request = item.second;
-        const bool runs_there =
-            request->running && request->running->attempt == attempt && request->running->vm == event.vm;
-        const bool waits_there = std::ranges::any_of(request->reservations, [&](const reservation& open) {
-            return open.attempt == attempt && open.vm == event.vm;
-        });
-        if (runs_there || waits_there) {
-            affected.emplace_back(attempt, request);
+    const auto affected = std::exchange(attempts_by_vm_[event.vm], {});
+    for (const auto attempt : affected) {
+        const auto request = find_attempt(attempt);
+        if (request == nullptr) {
+            continue;
         }
-    }
-    for (const auto& [attempt, request] : affected) {
-        if (is_running(*request, attempt)) {
+        if (is_hedge(*request, attempt)) {
+            drop_hedge(*request);
+        } else if (is_running(*request, attempt)) {
             attempt_lost(request, result_code::upstream_lost, ran_state::unknown);
         } else {
             drop_reservation(request, attempt);
@@ -293,17 +535,29 @@
     view.free_slots = message.free_slots;
     view.queued = message.queued;
     view.expected_wait = message.expected_wait;
+    view.yields_tier = message.yields_tier;
+    const bool newly_slowed = message.slowed && !view.slowed;
     view.slowed = message.slowed;
     view.leaving = message.leaving;
+    if (newly_slowed && is_late_bound()) {
+        move_from(vm);
+    }
 }
 
 void entry_core::on_message(const std::string& vm, const granted_message& message)
 {
     const auto request = find_attempt(message.attempt);
-    if (request == nullptr || request->running) {
+    const bool is_open = request != nullptr &&
+                         std::ranges::find(request->reservations, message.attempt, &reservation::attempt) !=
+                             request->reservations.end();
+    if (!is_open) {
         actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
         return;
     }
+    if (request->running) {
+        take_over(request, message.attempt, vm);
+        return;
+    }
     withdraw_reservations(*request, &message.attempt);
     dispatch(request, {vm, message.attempt});
 }
@@ -317,8 +571,17 @@
     record(*request, "request.refused", vm, std::string(describe(message.code).name));
     request->last_refusal = message.code;
     request->last_retry_after = message.retry_after;
+    if (message.code == result_code::overloaded && message.retry_after > duration::zero()) {
+        request->refused_by.insert(vm);
+        request->longest_refusal = std::max(request->longest_refusal, message.retry_after);
+    }
+    if (is_hedge(*request, message.attempt)) {
+        drop_hedge(*request);
+        return;
+    }
     if (is_running(*request, message.attempt)) {
         // Refused after the dispatch: it never started, so it does not count as an attempt that ran.
+        forget_attempt(vm, message.attempt);
         request->running.reset();
         --request->dispatches;
     }
@@ -338,6 +601,11 @@
 void entry_core::on_message(const std::string& /*vm*/, const head_message& message)
 {
     const auto request = find_attempt(message.attempt);
+    if (request != nullptr && is_hedge(*request, message.attempt)) {
+        request->hedge->status = message.status;
+        request->hedge->content_type = message.content_type;
+        return;
+    }
     if (request == nullptr || !is_running(*request, message.attempt)) {
         return;
     }
@@ -348,9 +616,16 @@
 void entry_core::on_message(const std::string& vm, const chunk_message& message)
 {
     const auto request = find_attempt(message.attempt);
-    if (request == nullptr || !is_running(*request, message.attempt)) {
+    if (request == nullptr) {
+        return;
+    }
+    if (is_hedge(*request, message.attempt)) {
+        settle_hedge(*request, message.attempt);
+    }
+    if (!is_running(*request, message.attempt)) {
         return;
     }
+    request->progress_at = now_;
     if (message.offset != request->received) {
         // A gap or a repetition can only come from a fault of the peer; the answer would not be the
         // upstream's.
@@ -362,6 +637,7 @@
     request->tokens = message.tokens;
     if (request->first_token_at == never) {
         request->first_token_at = now_;
+        settle_hedge(*request, message.attempt);
         record(*request, "request.first_token", vm, "");
     }
     deliver(*request, message.bytes);
@@ -370,6 +646,10 @@
 void entry_core::on_message(const std::string& /*vm*/, const finished_message& message)
 {
     const auto request = find_attempt(message.attempt);
+    if (request != nullptr && is_hedge(*request, message.attempt)) {
+        drop_hedge(*request);
+        return;
+    }
     if (request == nullptr || !is_running(*request, message.attempt)) {
         return;
     }
@@ -415,15 +695,23 @@
         send_head(request);
     }
     if (!request.held.empty()) {
+        request.undrained += request.held.size();
         actions_.emplace_back(answer_bytes{request.input.caller, std::exchange(request.held, {})});
     }
+    request.undrained += bytes.size();
+    request.at_event_end = bytes.ends_with("\n\n");
     actions_.emplace_back(answer_bytes{request.input.caller, std::move(bytes)});
 }
 
 void entry_core::handle(const caller_drained& event)
 {
     const auto found = requests_.find(event.caller);
-    if (found == requests_.end() || !found->second->running) {
+    if (found == requests_.end()) {
+        return;
+    }
+    auto& undrained = found->second->undrained;
+    undrained -= std::min<std::uint64_t>(undrained, event.bytes);
+    if (!found->second->running) {
         return;
     }
     const auto& running = *found->second->running;
@@ -445,24 +733,42 @@
 
 bool entry_core::may_start_again(const entry_request& request) const
 {
-    return request.rules.repeat != repeat_rule::never && !request.head_sent && !request.caller_left &&
-           request.dispatches < settings_.max_dispatches;
+    return request.rules.repeat != repeat_rule::never && !request.caller_left &&
+           (!request.head_sent || can_resume(request)) && request.dispatches < settings_.max_dispatches;
+}
+
+bool entry_core::can_resume(const entry_request& request) const
+{
+    return is_late_bound() && !request.rules.is_service && is_stream(request.content_type) &&
+           request.at_event_end;
 }
 
 void entry_core::attempt_lost(const request_ptr& request, result_code code, ran_state ran)
 {
     const auto lost = *request->running;
-    attempts_.erase(lost.attempt);
+    forget_attempt(lost.vm, lost.attempt);
     request->running.reset();
     record(*request, "request.attempt_lost", lost.vm, std::string(describe(code).name));
     request->last_refusal = code;
-    if (!may_start_again(*request)) {
+    if (request->hedge) {
+        // The other attempt goes on in its place.
+        adopt_hedge(*request);
+        return;
+    }
+    const bool within_budget =
+        !is_late_bound() || retries_.take(static_cast<std::uint8_t>(request->rules.tier));
+    if (!may_start_again(*request) || !within_budget) {
         fail(request, {code, ran, duration::zero(), ""});
         return;
     }
-    request->held.clear();
-    request->tokens = 0;
-    place(request);
+    if (!request->head_sent) {
+        request->held.clear();
+        request->tokens = 0;
+    }
+    request->refused_by.clear();
+    if (request->reservations.empty()) {
+        place(request);
+    }
 }
 
 void entry_core::on_deadline(const request_ptr& request)
@@ -495,13 +801,16 @@
 {
     withdraw_reservations(*request, nullptr);
     if (request->running) {
-        attempts_.erase(request->running->attempt);
+        forget_attempt(request->running->vm, request->running->attempt);
         if (code != result_code::ok) {
             actions_.emplace_back(
                 send_to_upstream{request->running->vm, cancel_message{request->running->attempt}});
         }
         request->running.reset();
     }
+    drop_hedge(*request);
+    timers_.cancel(std::exchange(request->widen_timer, 0));
+    timers_.cancel(std::exchange(request->hedge_timer, 0));
     timers_.cancel(std::exchange(request->deadline_timer, 0));
     timers_.cancel(std::exchange(request->retry_timer, 0));
     const bool has_token = request->first_token_at != never;
@@ -564,9 +873,9 @@
     }
 }
 
-void entry_core::handle(const soft_item_seen& /*event*/)
+void entry_core::handle(const soft_item_seen& event)
 {
-    // No policy of this core uses soft state yet.
+    limits_.item_seen(event.item, now_);
 }
 
 void entry_core::handle(const tick& /*event*/)
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -2,6 +2,9 @@
 
 #include "core/timer_service.h"
 #include "policy/placement.h"
+#include "policy/prefix_history.h"
+#include "policy/rate_limiter.h"
+#include "policy/share_budget.h"
 #include "policy/upstream_view.h"
 #include "request/entry_events.h"
 #include "request/entry_request.h"
@@ -10,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -28,6 +32,11 @@
     std::uint32_t max_dispatches{3};       ///< Attempts of one repeatable request.
     duration placement_interval{milliseconds(50)};
     duration placement_patience{seconds(1)}; ///< How long a request waits for a first reachable upstream.
+    double retry_share{0.1};                 ///< Retries per request.
+    double hedge_share{0.02};                ///< Hedges per request.
+    double budget_depth{32};                 ///< Retries or hedges that may be saved up.
+    std::size_t max_prefixes{65536};         ///< That are remembered for placement.
+    std::uint32_t max_moves{4};              ///< Of one stream away from slowed upstreams.
     placement_policy placement{late_bound_placement{}};
 };
 
@@ -72,6 +81,8 @@
     void on_message(const std::string& vm, const finished_message& message);
 
     std::optional<failure_notice> refuse_at_admission(const caller_request& input) const;
+    std::optional<failure_notice> refuse_by_limit(const workspace& owner, const request_class& rules);
+    void report_demand();
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
     const request_class* class_of(const caller_request& input) const;
 
@@ -79,6 +90,19 @@
     std::vector<const upstream_view*> candidates(const entry_request& request) const;
     void reserve(const request_ptr& request, const upstream_view& view);
     void place_later(const request_ptr& request);
+    void widen_later(const request_ptr& request);
+    void give_up_or_wait(const request_ptr& request);
+    bool is_late_bound() const { return std::holds_alternative<late_bound_placement>(settings_.placement); }
+    bool may_move(const entry_request& request) const;
+    void move_from(const std::string& vm);
+    void look_for_stalls();
+    void hedge_later(const request_ptr& request);
+    void take_over(const request_ptr& request, const attempt_id& granted, const std::string& vm);
+    void settle_hedge(entry_request& request, attempt_id winner);
+    bool is_hedge(const entry_request& request, attempt_id attempt) const;
+    void drop_hedge(entry_request& request);
+    static void adopt_hedge(entry_request& request);
+    void forget_attempt(const std::string& vm, attempt_id attempt);
     void dispatch(const request_ptr& request, const reservation& granted);
     void withdraw_reservations(entry_request& request, const attempt_id* except);
     void drop_reservation(const request_ptr& request, attempt_id attempt);
@@ -87,6 +111,7 @@
     void send_head(entry_request& request);
     void attempt_lost(const request_ptr& request, result_code code, ran_state ran);
     bool may_start_again(const entry_request& request) const;
+    bool can_resume(const entry_request& request) const;
     void on_deadline(const request_ptr& request);
     void fail(const request_ptr& request, const failure_notice& notice);
     void complete(const request_ptr& request);
@@ -106,6 +131,13 @@
     std::map<std::string, upstream_view, std::less<>> upstreams_;
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
+    std::map<std::string, std::set<attempt_id>, std::less<>> attempts_by_vm_;
+    prefix_history prefixes_;
+    rate_limiter limits_;
+    timer_service::timer_id report_timer_{0};
+    share_budget retries_;
+    share_budget hedges_;
+    timer_service::timer_id stall_timer_{0};
     std::uint64_t last_attempt_{0};
     std::uint64_t last_request_{0};
     bool draining_{false};
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     std::string vm;
     attempt_id attempt;
     bool started{false};
+    std::uint16_t status{0}; ///< Of its answer's head.
+    std::string content_type{};
 };
 
 /// What an entry daemon holds of one request from its admission to its end.
@@ -38,6 +41,13 @@
     time_point target_at;
     std::vector<reservation> reservations;
     std::optional<running_attempt> running;
+    std::optional<running_attempt> hedge; ///< A second attempt; the first token decides between the two.
+    std::set<std::string, std::less<>> refused_by; ///< Upstreams that had no place for it.
+    duration longest_refusal{0};
+    std::uint32_t moves{0};
+    std::uint64_t undrained{0}; ///< Bytes that the caller has not taken yet.
+    bool at_event_end{true};    ///< What was delivered of a stream ends with a whole event.
+    time_point progress_at;     ///< When the running attempt last said something.
     std::uint32_t dispatches{0};
     bool caller_left{false};
     bool head_sent{false};
@@ -51,6 +61,8 @@
     duration last_retry_after{0};
     timer_service::timer_id deadline_timer{0};
     timer_service::timer_id retry_timer{0};
+    timer_service::timer_id widen_timer{0};
+    timer_service::timer_id hedge_timer{0};
 };
 
 } // namespace clementinegap
--- a/request/messages.h
+++ b/request/messages.h
@@ -130,6 +130,7 @@
     std::uint32_t free_slots{0};
     std::uint32_t queued{0};
     duration expected_wait{0};
+    std::uint8_t yields_tier{0}; ///< The lowest tier running that yields to any tier above it; 0: none does.
     bool slowed{false};
     bool leaving{false};
     bool operator==(const load_message&) const = default;
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -747,6 +747,7 @@
     load.free_slots = busy_slots_ < limit ? limit - busy_slots_ : 0;
     load.queued = static_cast<std::uint32_t>(queued());
     load.expected_wait = slots_.expected_wait(queued(), now_).value_or(duration::zero());
+    load.yields_tier = is_tiered() ? slots_.slices().lowest_yielding().value_or(0) : 0;
     load.slowed = is_tiered() && slots_.slowed(now_);
     load.leaving = draining_;
     return load;
@@ -763,6 +764,7 @@
     // Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken,
     // and the wait in doublings.
     const bool matters = load.leaving != published_.leaving || load.slowed != published_.slowed ||
+                         load.yields_tier != published_.yields_tier ||
                          (load.free_slots == 0) != (published_.free_slots == 0) ||
                          (load.queued == 0) != (published_.queued == 0) ||
                          std::abs(wait_step(load.expected_wait) - wait_step(published_.expected_wait)) > 1;
--- a/tests/experiments/experiment.h
+++ b/tests/experiments/experiment.h
@@ -20,6 +20,7 @@
     double median_tokens{20};
     double sigma{0.5}; ///< Of the log-normal output length; larger means a heavier tail.
     std::uint32_t max_tokens{4000};
+    double limit{0}; ///< A workspace may send this multiple of its ordinary load; 0: no limit.
 };
 
 /// One workspace with its part of every class's load.
--- a/tests/experiments/experiment_catalogue.cpp
+++ b/tests/experiments/experiment_catalogue.cpp
@@ -25,6 +25,15 @@
     }
 }
 
+/// The limits that keep a burst from becoming everybody's: a multiple of the ordinary load.
+void limit_all(experiment& about)
+{
+    constexpr double limit = 3;
+    for (auto& load : about.classes) {
+        load.limit = limit;
+    }
+}
+
 experiment named(experiment about, std::string name)
 {
     about.name = std::move(name);
@@ -86,6 +95,7 @@
 experiment one_class_bursts()
 {
     auto about = named(lanyu(), "one_class_bursts");
+    limit_all(about);
     about.swings = {{seconds(3), seconds(6), 12, "question", ""},
                     {seconds(8), seconds(10), 12, "question", ""}};
     return about;
@@ -94,6 +104,7 @@
 experiment one_workspace_bursts()
 {
     auto about = named(lanyu(), "one_workspace_bursts");
+    limit_all(about);
     about.swings = {{seconds(3), seconds(6), 30, "", "small-1"},
                     {seconds(8), seconds(10), 30, "", "small-1"}};
     return about;
@@ -108,7 +119,9 @@
     dossier.median_tokens = 600;
     dossier.rules.deadline = seconds(120);
     about.settle_time = seconds(110);
-    about.swings = {{seconds(0), seconds(2), 12, "dossier", ""}};
+    about.swings = {{seconds(0), seconds(2), 24, "dossier", ""}};
+    about.window_from = seconds(2);
+    about.window_to = seconds(10);
     return about;
 }
 
--- a/tests/experiments/experiment_run.cpp
+++ b/tests/experiments/experiment_run.cpp
@@ -83,11 +83,28 @@
             value.classes.push_back(load.rules);
         }
         for (const auto& load : about_.workspaces) {
-            value.workspaces.push_back({load.name, sha256_hex(load.name), 1, {}});
+            value.workspaces.push_back({load.name, sha256_hex(load.name), 1, limits_of(load)});
         }
         return value;
     }
 
+    /// Naive runs have no limits.
+    std::vector<rate_limit> limits_of(const workspace_load& owner) const
+    {
+        std::vector<rate_limit> result;
+        double shares = 0;
+        for (const auto& load : about_.workspaces) {
+            shares += load.share;
+        }
+        for (const auto& load : about_.classes) {
+            const double rate = load.limit * load.requests_per_second * owner.share / shares;
+            if (rate > 0 && variant_ == decision_variant::product) {
+                result.push_back({load.rules.name, rate, std::max(2 * rate, 12.0)});
+            }
+        }
+        return result;
+    }
+
     entry_settings entry_of(int index) const
     {
         entry_settings result;
@@ -245,6 +262,9 @@
         result.received += tokens_in(seen.body);
         const bool whole = seen.succeeded();
         const auto first = whole ? seen.first_byte_at - seen.sent_at : duration::max();
+        if (whole) {
+            measured.served_at.push_back(item.at + first);
+        }
         if (item.at >= about_.measured_from) {
             measured.first_tokens.push_back(first);
         }
