--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -37,11 +37,6 @@
     return text;
 }
 
-bool serves(const upstream_view& view, std::string_view model)
-{
-    return std::ranges::find(view.models, model) != view.models.end();
-}
-
 } // namespace
 
 entry_core::entry_core(entry_settings settings)
@@ -69,7 +64,7 @@
         actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
         return;
     }
-    const auto& owner = *configuration_->find_workspace_by_key(event.key_sha256);
+    const auto& owner = *workspace_of(event.key_sha256);
     const auto& rules = *class_of(event);
     if (const auto notice = refuse_by_limit(owner, rules)) {
         actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
@@ -87,8 +82,32 @@
 
 const request_class* entry_core::class_of(const caller_request& input) const
 {
-    return input.class_name.empty() ? configuration_->classify(input.path, input.model)
-                                    : configuration_->find_class(input.class_name);
+    if (input.class_name.empty()) {
+        return configuration_->classify(input.path, input.model);
+    }
+    const auto found = classes_by_name_.find(input.class_name);
+    return found == classes_by_name_.end() ? nullptr : found->second;
+}
+
+void entry_core::index_configuration()
+{
+    workspaces_by_key_.clear();
+    classes_by_name_.clear();
+    for (const auto& item : configuration_->workspaces) {
+        workspaces_by_key_.emplace(item.key_sha256, &item);
+    }
+    for (const auto& item : configuration_->classes) {
+        classes_by_name_.emplace(item.name, &item);
+    }
+}
+
+const workspace* entry_core::workspace_of(const std::string& key_sha256) const
+{
+    // The table is keyed by hashes, so what its timing could tell of a hash does not help to find a key.
+    const auto found = workspaces_by_key_.find(key_sha256);
+    const bool matches =
+        found != workspaces_by_key_.end() && equal_constant_time(found->second->key_sha256, key_sha256);
+    return matches ? found->second : nullptr;
 }
 
 std::optional<failure_notice> entry_core::refuse_at_admission(const caller_request& input) const
@@ -102,7 +121,7 @@
     if (draining_) {
         return failure_notice{result_code::leaving, ran_state::no, default_retry_after, ""};
     }
-    if (configuration_->find_workspace_by_key(input.key_sha256) == nullptr) {
+    if (workspace_of(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
     }
     if (input.malformed) {
@@ -175,23 +194,45 @@
 // --- Placement
 // ------------------------------------------------------------------------------------------------
 
-std::vector<const upstream_view*> entry_core::candidates(const entry_request& request) const
+bool entry_core::was_asked(const entry_request& request, const std::string& vm) const
+{
+    const bool is_open =
+        std::ranges::find(request.reservations, vm, &reservation::vm) != request.reservations.end();
+    return is_open || request.refused_by.contains(vm) || (request.running && request.running->vm == vm);
+}
+
+std::vector<const upstream_view*> entry_core::candidates(const entry_request& request)
 {
     // A class names the model that serves it; requests may ask for another model by name.
     const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
     std::vector<const upstream_view*> result;
-    for (const auto& [vm, view] : upstreams_) {
-        const bool asked =
-            request.refused_by.contains(vm) ||
-            std::ranges::find(request.reservations, vm, &reservation::vm) != request.reservations.end() ||
-            (request.running && request.running->vm == vm);
-        if (view.connected && !view.leaving && !asked && serves(view, model)) {
+    const auto found = pools_.find(model);
+    if (found == pools_.end() || found->second.empty() ||
+        request.reservations.size() >= settings_.max_reservations) {
+        return result;
+    }
+    // A large pool is looked at in parts, from a random place on, so that the cost does not grow with it.
+    const auto& pool = found->second;
+    const auto begin = pool.size() <= settings_.max_considered ? 0 : random_() % pool.size();
+    for (std::size_t i = 0; i < pool.size() && result.size() < settings_.max_considered; ++i) {
+        const auto& view = *pool[(begin + i) % pool.size()];
+        if (view.connected && !view.leaving && !was_asked(request, view.vm)) {
             result.push_back(&view);
         }
     }
     return result;
 }
 
+void entry_core::join_pools(const upstream_view& view, const std::vector<std::string>& former_models)
+{
+    for (const auto& model : former_models) {
+        std::erase(pools_[model], &view);
+    }
+    for (const auto& model : view.models) {
+        pools_[model].push_back(&view);
+    }
+}
+
 void entry_core::place(const request_ptr& request)
 {
     const auto possible = candidates(*request);
@@ -223,7 +264,7 @@
                                            least_widening, longest_widening);
     request->widen_timer = timers_.schedule(now_ + step, [this, request](time_point) {
         request->widen_timer = 0;
-        if (!request->reservations.empty() && !candidates(*request).empty()) {
+        if (!request->reservations.empty()) {
             place(request);
         }
     });
@@ -517,7 +558,8 @@
     view.zone = message.zone;
     view.region = message.region;
     view.incarnation = message.incarnation;
-    view.models = message.models;
+    const auto former_models = std::exchange(view.models, message.models);
+    join_pools(view, former_models);
     view.slots = message.slots;
     view.free_slots = message.slots;
     view.queued = 0;
@@ -857,6 +899,7 @@
         return;
     }
     configuration_ = event.value;
+    index_configuration();
     actions_.emplace_back(emit_record{
         {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
 }
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +36,8 @@
     double retry_share{0.1};                 ///< Retries per request.
     double hedge_share{0.02};                ///< Hedges per request.
     double budget_depth{32};                 ///< Retries or hedges that may be saved up.
+    std::size_t max_considered{24};          ///< Upstreams that one placement looks at.
+    std::size_t max_reservations{24};        ///< Of one request at a time.
     std::size_t max_prefixes{65536};         ///< That are remembered for placement.
     std::uint32_t max_moves{4};              ///< Of one stream away from slowed upstreams.
     placement_policy placement{late_bound_placement{}};
@@ -84,10 +87,14 @@
     std::optional<failure_notice> refuse_by_limit(const workspace& owner, const request_class& rules);
     void report_demand();
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
+    void index_configuration();
+    const workspace* workspace_of(const std::string& key_sha256) const;
+    void join_pools(const upstream_view& view, const std::vector<std::string>& former_models);
+    bool was_asked(const entry_request& request, const std::string& vm) const;
     const request_class* class_of(const caller_request& input) const;
 
     void place(const request_ptr& request);
-    std::vector<const upstream_view*> candidates(const entry_request& request) const;
+    std::vector<const upstream_view*> candidates(const entry_request& request);
     void reserve(const request_ptr& request, const upstream_view& view);
     void place_later(const request_ptr& request);
     void widen_later(const request_ptr& request);
@@ -129,6 +136,9 @@
     time_point now_{};
     configuration_ptr configuration_;
     std::map<std::string, upstream_view, std::less<>> upstreams_;
+    std::map<std::string, std::vector<const upstream_view*>, std::less<>> pools_; ///< By model.
+    std::unordered_map<std::string_view, const workspace*> workspaces_by_key_;
+    std::unordered_map<std::string_view, const request_class*> classes_by_name_;
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
     std::map<std::string, std::set<attempt_id>, std::less<>> attempts_by_vm_;
