--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_server.h"
 
 #include "adapters/peer_codec.h"
+#include "adapters/peer_stamp.h"
 #include "adapters/proto/peer.grpc.pb.h"
 #include "adapters/write_queue.h"
 
@@ -30,8 +31,8 @@
 
 class peer_server::implementation final : public wire::peer::CallbackService {
 public:
-    implementation(upstream_event_sink sink, peer_credentials credentials)
-        : sink_(std::move(sink)), credentials_(std::move(credentials))
+    implementation(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+        : sink_(std::move(sink)), credentials_(std::move(credentials)), clock_(clock)
     {
     }
 
@@ -40,6 +41,9 @@
         grpc::ServerBuilder builder;
         builder.AddListeningPort(address, credentials_.for_server(), &port_);
         builder.RegisterService(this);
+        if (other_ != nullptr) {
+            builder.RegisterService(other_);
+        }
         builder.SetMaxReceiveMessageSize(max_frame_bytes);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_time_ms);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
@@ -54,6 +58,8 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+    void also_serve(grpc::Service& service) { other_ = &service; }
+
     void stop()
     {
         if (server_ == nullptr) {
@@ -144,6 +150,7 @@
                 finish();
                 return;
             }
+            witness(incoming_, owner_.clock_);
             for (const auto& message : incoming_.messages()) {
                 auto decoded = decode(message);
                 // A full ring ends the session: both sides then take the entry as lost, and nothing is
@@ -174,6 +181,7 @@
         void write_next()
         {
             if (auto* frame = queue_.begin_write()) {
+                stamp(*frame, owner_.clock_);
                 StartWrite(frame);
             }
         }
@@ -217,6 +225,8 @@
 
     upstream_event_sink sink_;
     peer_credentials credentials_;
+    hybrid_clock& clock_;
+    grpc::Service* other_{nullptr};
     std::unique_ptr<grpc::Server> server_;
     int port_{0};
     std::mutex mutex_;
@@ -225,8 +235,8 @@
     session_id last_id_{0};
 };
 
-peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials)
-    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials)))
+peer_server::peer_server(upstream_event_sink sink, peer_credentials credentials, hybrid_clock& clock)
+    : implementation_(std::make_unique<implementation>(std::move(sink), std::move(credentials), clock))
 {
 }
 
@@ -235,6 +245,11 @@
     stop();
 }
 
+void peer_server::also_serve(grpc::Service& service)
+{
+    implementation_->also_serve(service);
+}
+
 outcome<void> peer_server::start(const std::string& address)
 {
     return implementation_->start(address);
--- a/main/entry_daemon.h
+++ b/main/entry_daemon.h
@@ -6,7 +6,9 @@
 #include "main/daemon_base.h"
 #include "request/entry_core.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace clementinegap {
 
@@ -23,7 +25,8 @@
     void begin_drain() override;
     void stop() override;
     void configure(configuration_ptr value) override;
-    void vms_listed(const std::vector<listed_vm>& vms) override;
+    void members_moved(const std::vector<member_view>& members) override;
+    void item_seen(const soft_item& item) override;
     bool ready() const override { return ready_; }
 
 private:
@@ -31,11 +34,15 @@
 
     void perform(const entry_action& action, time_point now);
     void measure(const request_measured& action);
+    /// Publishes gauges after each batch, and the status at most every `status_interval`.
+    void observe(const entry_core& core);
 
     thread decisions_;
     caller_gateway callers_;
     std::unique_ptr<peer_client> peers_;
+    std::map<std::string, bool> leaving_; ///< Cluster thread only.
     std::atomic<bool> ready_{false};
+    time_point observed_at_{};
 };
 
 } // namespace clementinegap
--- a/main/upstream_daemon.h
+++ b/main/upstream_daemon.h
@@ -24,19 +24,23 @@
     void begin_drain() override;
     void stop() override;
     void configure(configuration_ptr value) override;
-    void vms_listed(const std::vector<listed_vm>& vms) override;
+    void members_moved(const std::vector<member_view>& members) override;
+    void item_seen(const soft_item& item) override;
     bool ready() const override { return ready_; }
 
 private:
     using thread = decision_thread<upstream_core, upstream_event, upstream_action>;
 
     void perform(const upstream_action& action, time_point now);
+    /// Publishes gauges after each batch, and the status at most every `status_interval`.
+    void observe(const upstream_core& core);
 
     thread decisions_;
     run_store runs_;
     engine_gateway engine_;
     std::unique_ptr<peer_server> peers_;
     std::atomic<bool> ready_{false};
+    time_point observed_at_{};
 };
 
 } // namespace clementinegap
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,6 +1,8 @@
 #include "request/entry_core.h"
 
 #include "core/digest.h"
+#include "request/decision_reason.h"
+#include "request/model_list.h"
 
 #include <algorithm>
 #include <utility>
@@ -61,17 +63,21 @@
 void entry_core::handle(const caller_request& event)
 {
     if (const auto notice = refuse_at_admission(event)) {
-        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        refuse_caller(event, *notice);
+        return;
+    }
+    if (event.path == models_path) {
+        actions_.emplace_back(model_list_answer(event.caller, upstreams_, new_request_id()));
         return;
     }
     const auto& owner = *workspace_of(event.key_sha256);
     const auto& rules = *class_of(event);
     if (const auto notice = refuse_by_limit(owner, rules)) {
-        actions_.emplace_back(failure_answer(event.caller, *notice, new_request_id()));
+        refuse_caller(event, *notice);
         return;
     }
     const auto request = admit(event, rules, owner);
-    record(*request, "request.admitted", "", "class " + request->rules.name);
+    record(*request, "request.admitted", "", admission_reason(*request));
     retries_.request_seen();
     hedges_.request_seen();
     if (stall_timer_ == 0 && is_late_bound()) {
@@ -80,6 +86,14 @@
     place(request);
 }
 
+void entry_core::refuse_caller(const caller_request& event, const failure_notice& notice)
+{
+    const auto id = new_request_id();
+    actions_.emplace_back(failure_answer(event.caller, notice, id));
+    actions_.emplace_back(emit_record{{"request.refused_at_admission", id, event.class_name, "", "",
+                                       std::string(describe(notice.code).name)}});
+}
+
 const request_class* entry_core::class_of(const caller_request& input) const
 {
     if (input.class_name.empty()) {
@@ -124,6 +138,12 @@
     if (workspace_of(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
     }
+    if (!input.bad_header.empty()) {
+        return failure_notice{result_code::bad_header, ran_state::no, duration::zero(), input.bad_header};
+    }
+    if (input.path == models_path) {
+        return std::nullopt;
+    }
     if (input.malformed) {
         return failure_notice{result_code::malformed_body, ran_state::no, duration::zero(), ""};
     }
@@ -131,6 +151,9 @@
     if (rules == nullptr) {
         return failure_notice{result_code::unknown_class, ran_state::no, duration::zero(), ""};
     }
+    if (!input.model.empty() && !is_known_model(input.model, *configuration_, upstreams_)) {
+        return failure_notice{result_code::unknown_model, ran_state::no, duration::zero(), ""};
+    }
     if (rules->key_required && input.idempotency_key.empty()) {
         return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
     }
@@ -216,7 +239,8 @@
     const auto begin = pool.size() <= settings_.max_considered ? 0 : random_() % pool.size();
     for (std::size_t i = 0; i < pool.size() && result.size() < settings_.max_considered; ++i) {
         const auto& view = *pool[(begin + i) % pool.size()];
-        if (view.connected && !view.leaving && !was_asked(request, view.vm)) {
+        if (view.connected && !view.leaving && !leaving_upstreams_.contains(view.vm) &&
+            !was_asked(request, view.vm)) {
             result.push_back(&view);
         }
     }
@@ -310,7 +334,7 @@
     message.starvation_bound = request->rules.starvation_bound;
     message.prefix_hashes = request->input.prefix_hashes;
     actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
-    record(*request, "request.reserved", view.vm, "");
+    record(*request, "request.reserved", view.vm, reservation_reason(view, settings_.zone));
 }
 
 void entry_core::place_later(const request_ptr& request)
@@ -364,6 +388,7 @@
     request->received = 0;
     request->progress_at = now_;
     prefixes_.sent(request->input.prefix_hashes, granted.vm);
+    request->first_dispatch_at = std::min(request->first_dispatch_at, now_);
     dispatch_message message;
     message.attempt = granted.attempt;
     message.method = request->input.method;
@@ -529,7 +554,9 @@
     if (found == upstreams_.end()) {
         return;
     }
-    found->second.connected = false;
+    if (std::exchange(found->second.connected, false)) {
+        actions_.emplace_back(emit_record{{"upstream.disconnected", "", "", "", event.vm, ""}});
+    }
     const auto affected = std::exchange(attempts_by_vm_[event.vm], {});
     for (const auto attempt : affected) {
         const auto request = find_attempt(attempt);
@@ -546,6 +573,27 @@
     }
 }
 
+void entry_core::handle(const upstream_leaving& event)
+{
+    if (!event.is_leaving) {
+        leaving_upstreams_.erase(event.vm);
+        return;
+    }
+    leaving_upstreams_.insert(event.vm);
+    std::vector<std::pair<attempt_id, request_ptr>> waiting;
+    for (const auto& [attempt, request] : attempts_) {
+        for (const auto& open : request->reservations) {
+            if (open.attempt == attempt && open.vm == event.vm) {
+                waiting.emplace_back(attempt, request);
+            }
+        }
+    }
+    for (const auto& [attempt, request] : waiting) {
+        actions_.emplace_back(send_to_upstream{event.vm, cancel_message{attempt}});
+        drop_reservation(request, attempt);
+    }
+}
+
 void entry_core::handle(const upstream_said& event)
 {
     std::visit([&](const auto& message) { on_message(event.vm, message); }, event.message);
@@ -565,6 +613,8 @@
     view.queued = 0;
     view.leaving = message.leaving;
     view.connected = true;
+    actions_.emplace_back(emit_record{{"upstream.connected", "", "", "", vm,
+                                       std::to_string(message.slots) + " slots, zone " + message.zone}});
 }
 
 void entry_core::on_message(const std::string& vm, const load_message& message)
@@ -579,7 +629,10 @@
     view.expected_wait = message.expected_wait;
     view.yields_tier = message.yields_tier;
     const bool newly_slowed = message.slowed && !view.slowed;
-    view.slowed = message.slowed;
+    if (std::exchange(view.slowed, message.slowed) != message.slowed) {
+        actions_.emplace_back(
+            emit_record{{message.slowed ? "upstream.slowed" : "upstream.recovered", "", "", "", vm, ""}});
+    }
     view.leaving = message.leaving;
     if (newly_slowed && is_late_bound()) {
         move_from(vm);
@@ -610,7 +663,7 @@
     if (request == nullptr) {
         return;
     }
-    record(*request, "request.refused", vm, std::string(describe(message.code).name));
+    record(*request, "request.refused", vm, refusal_reason(message));
     request->last_refusal = message.code;
     request->last_retry_after = message.retry_after;
     if (message.code == result_code::overloaded && message.retry_after > duration::zero()) {
@@ -680,7 +733,7 @@
     if (request->first_token_at == never) {
         request->first_token_at = now_;
         settle_hedge(*request, message.attempt);
-        record(*request, "request.first_token", vm, "");
+        record(*request, "request.first_token", vm, target_reason(*request));
     }
     deliver(*request, message.bytes);
 }
@@ -805,7 +858,7 @@
     }
     if (!request->head_sent) {
         request->held.clear();
-        request->tokens = 0;
+        request->wasted_tokens += std::exchange(request->tokens, 0);
     }
     request->refused_by.clear();
     if (request->reservations.empty()) {
@@ -863,6 +916,10 @@
     measured.first_token = has_token ? request->first_token_at - request->arrived : duration::zero();
     measured.total = now_ - request->arrived;
     measured.tokens = request->tokens;
+    measured.tier = request->rules.tier;
+    measured.queue_wait = std::min(request->first_dispatch_at, now_) - request->arrived;
+    measured.dispatches = request->dispatches;
+    measured.wasted_tokens = request->wasted_tokens + (code == result_code::ok ? 0 : request->tokens);
     measured.target_met =
         code == result_code::ok && has_token && request->first_token_at <= request->target_at;
     actions_.emplace_back(measured);
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -72,6 +72,7 @@
     void handle(const configuration_applied& event);
     void handle(const drain_started& event);
     void handle(const soft_item_seen& event);
+    void handle(const upstream_leaving& event);
     void handle(const tick& event);
 
     void on_message(const std::string& vm, const hello_message& message);
@@ -84,6 +85,7 @@
     void on_message(const std::string& vm, const finished_message& message);
 
     std::optional<failure_notice> refuse_at_admission(const caller_request& input) const;
+    void refuse_caller(const caller_request& event, const failure_notice& notice);
     std::optional<failure_notice> refuse_by_limit(const workspace& owner, const request_class& rules);
     void report_demand();
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
@@ -139,6 +141,7 @@
     std::map<std::string, std::vector<const upstream_view*>, std::less<>> pools_; ///< By model.
     std::unordered_map<std::string_view, const workspace*> workspaces_by_key_;
     std::unordered_map<std::string_view, const request_class*> classes_by_name_;
+    std::set<std::string, std::less<>> leaving_upstreams_; ///< By the cluster's word.
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
     std::map<std::string, std::set<attempt_id>, std::less<>> attempts_by_vm_;
--- a/request/entry_events.h
+++ b/request/entry_events.h
@@ -4,6 +4,7 @@
 #include "core/event_record.h"
 #include "core/result_code.h"
 #include "core/soft_state.h"
+#include "core/tick.h"
 #include "core/time.h"
 #include "request/messages.h"
 
@@ -36,7 +37,8 @@
     std::optional<duration> deadline; ///< From the deadline header.
     std::string model;                ///< The body's model, or the service of the path.
     bool stream{false};
-    bool malformed{false}; ///< The body is not JSON where the path requires it.
+    bool malformed{false};  ///< The body is not JSON where the path requires it.
+    std::string bad_header; ///< What a header with an invalid value may be; empty when all are valid.
     std::string body;
     std::uint32_t prompt_tokens{0};
     std::vector<std::uint64_t> prefix_hashes;
@@ -72,17 +74,20 @@
 /// A planned stop begins: nothing new is admitted, what is admitted is finished.
 struct drain_started {};
 
+/// The cluster knows whether an upstream is leaving, be it from the VM itself or from the platform.
+struct upstream_leaving {
+    std::string vm;
+    bool is_leaving{false};
+};
+
 /// An item that another daemon published arrived.
 struct soft_item_seen {
     soft_item item;
 };
 
-/// Time passed; due timers run.
-struct tick {};
-
 using entry_event =
     std::variant<caller_request, caller_gone, caller_drained, upstream_connected, upstream_disconnected,
-                 upstream_said, configuration_applied, drain_started, soft_item_seen, tick>;
+                 upstream_said, configuration_applied, drain_started, soft_item_seen, upstream_leaving, tick>;
 
 struct send_to_upstream {
     std::string vm;
@@ -131,6 +136,10 @@
     duration total{0};
     std::uint32_t tokens{0};
     bool target_met{false};
+    int tier{0};
+    duration queue_wait{0}; ///< From arrival to the first dispatch, or to the end without one.
+    std::uint32_t dispatches{0};
+    std::uint32_t wasted_tokens{0}; ///< Received, but not part of a whole answer.
 };
 
 /// Spreads an item among the daemons; the daemon fills in origin, incarnation and sequence.
