--- a/adapters/peer_credentials.h
+++ b/adapters/peer_credentials.h
@@ -10,13 +10,14 @@
 
 namespace clementinegap {
 
-/// The keys of the peer protocol; empty members mean plain text.
+/// The files of the peer protocol's keys; empty members mean plain text. The files are read again when they
+/// change, so keys are replaced without a restart.
 struct peer_credentials {
-    std::string ca_pem;
-    std::string certificate_pem;
-    std::string key_pem;
+    std::string ca_file;
+    std::string certificate_file;
+    std::string key_file;
 
-    bool plain() const { return certificate_pem.empty(); }
+    bool plain() const { return certificate_file.empty(); }
     std::shared_ptr<grpc::ServerCredentials> for_server() const;
     std::shared_ptr<grpc::ChannelCredentials> for_client() const;
 };
--- a/adapters/peer_server.cpp
+++ b/adapters/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer_server.h"
 
 #include "adapters/peer_codec.h"
+#include "adapters/peer_identity.h"
 #include "adapters/peer_stamp.h"
 #include "adapters/proto/peer.grpc.pb.h"
 #include "adapters/write_queue.h"
@@ -99,12 +100,27 @@
     grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame>*
     session(grpc::CallbackServerContext* context) override
     {
+        const auto identity = credentials_.plain() ? std::optional(peer_identity{"entry", ""})
+                                                   : identity_of(*context->auth_context());
+        if (!identity || identity->role != "entry") {
+            return new refused_session;
+        }
         auto* const opened = new session_reactor(*this, context);
         opened->begin();
         return opened;
     }
 
 private:
+    /// Ends the stream of a peer whose certificate is not that of an entry daemon.
+    class refused_session final : public grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame> {
+    public:
+        refused_session()
+        {
+            Finish({grpc::StatusCode::PERMISSION_DENIED, "the certificate is not an entry daemon's"});
+        }
+        void OnDone() override { delete this; }
+    };
+
     /// One entry daemon's stream; gRPC owns its life and ends it with `OnDone`.
     class session_reactor final : public grpc::ServerBidiReactor<wire::entry_frame, wire::upstream_frame> {
     public:
--- /dev/null
+++ b/cluster/lease.cpp
@@ -0,0 +1,91 @@
+#include "cluster/lease.h"
+
+#include "core/checked_json.h"
+
+namespace clementinegap {
+namespace {
+
+std::int64_t unix_ms(time_point at)
+{
+    return to_milliseconds(at.time_since_epoch());
+}
+
+} // namespace
+
+std::string to_row(const lease_row& row)
+{
+    return json{{"holder", row.holder}, {"number", row.number}, {"expires_unix_ms", row.expires_unix_ms}}
+        .dump();
+}
+
+outcome<lease_row> lease_from_row(std::string_view value)
+{
+    fault_list faults;
+    const auto document = parse_json_with_comments(value, faults);
+    if (!document) {
+        return failure(result_code::internal, "the lease's row: " + faults.text());
+    }
+    object_reader reader(*document, "", faults);
+    lease_row result;
+    result.holder = reader.string("holder");
+    result.number = static_cast<std::uint64_t>(reader.integer("number", 1, INT64_MAX));
+    result.expires_unix_ms = reader.integer("expires_unix_ms", 0, INT64_MAX);
+    if (!faults.empty()) {
+        return failure(result_code::internal, "the lease's row: " + faults.text());
+    }
+    return result;
+}
+
+std::optional<lease_row> lease::acquire(const std::optional<lease_row>& present, time_point now)
+{
+    const bool is_free = !present || present->holder.empty() || present->holder == holder_ ||
+                         present->expires_unix_ms <= unix_ms(now);
+    if (!is_free) {
+        return std::nullopt;
+    }
+    const auto last_number = present ? present->number : 0;
+    asked_ = lease_row{holder_, last_number + 1, unix_ms(now + term_)};
+    return asked_;
+}
+
+std::optional<lease_row> lease::prolong(time_point now)
+{
+    if (!number(now)) {
+        return std::nullopt;
+    }
+    asked_ = lease_row{holder_, held_->number, unix_ms(now + term_)};
+    return asked_;
+}
+
+void lease::granted()
+{
+    held_ = asked_;
+    asked_.reset();
+}
+
+void lease::lost()
+{
+    held_.reset();
+    asked_.reset();
+}
+
+void lease::read_back(const std::optional<lease_row>& present)
+{
+    if (asked_ && present == asked_) {
+        granted();
+    } else if (!held_ || present != held_) {
+        lost();
+    } else {
+        asked_.reset();
+    }
+}
+
+std::optional<std::uint64_t> lease::number(time_point now) const
+{
+    if (!held_ || unix_ms(now) >= held_->expires_unix_ms) {
+        return std::nullopt;
+    }
+    return held_->number;
+}
+
+} // namespace clementinegap
--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -6,6 +6,7 @@
 #include "main/command_drain.h"
 #include "main/command_load.h"
 #include "main/command_manual.h"
+#include "main/command_order.h"
 #include "main/command_record.h"
 #include "main/command_status.h"
 #include "main/command_timeline.h"
@@ -45,14 +46,22 @@
          {},
          completion_command},
         {"config",
-         "generate|submit|show ...",
+         "generate|check|diff|submit|show|history [FILE...]",
          "generate, submit and show configurations",
-         "Generates the configuration from questionnaires, submits it to the platform, or shows what is in "
-         "force.",
-         "clementinegap config generate lanyu.questionnaire.json\n"
-         "clementinegap config submit http://10.0.0.2:7000 lanyu.questionnaire.json",
-         {},
-         on_words(config_command)},
+         "Generates the configuration from questionnaires, checks it, shows what a submission would change, "
+         "submits it to the platform, or shows what is in force and how it came about.",
+         "clementinegap config generate --explain lanyu.questionnaire.json\n"
+         "clementinegap config submit --platform http://10.0.0.2:7000 --based-on 3 lanyu.questionnaire.json",
+         {platform_option,
+          {"based-on", "VERSION", "the version with which the answers were read that these were made from"},
+          {"submission", "ID", "what became of one submission, for history"},
+          {"wait-ms", "MS", "how long to wait for the platform"},
+          {"ca-file", "FILE", "authority of the daemons' certificates, for submit"},
+          {"certificate-file", "FILE", "certificate of this operator, named operator.NAME"},
+          {"key-file", "FILE", "its key"},
+          {"explain", "", "name the answer behind each generated value"},
+          json_option},
+         config_command},
         {"drain",
          "VM",
          "stop one daemon gracefully",
@@ -76,13 +85,23 @@
          "clementinegap manual status | man -l -",
          {},
          manual_command},
+        {"order",
+         "PLATFORM_URL DAEMON_ADMIN_URL VM KIND NAME",
+         "order an engine through its daemon, under a lease",
+         "Takes the lease of the VM's engine, sends the order through the VM's daemon, and gives the lease "
+         "back. Kinds are load_model, unload_model, load_adapter, set_version and set_role.",
+         "clementinegap order http://10.0.0.2:7000 http://10.0.0.21:9000 upstream-1 load_model assistant",
+         {},
+         on_words(order_command)},
         {"questionnaire",
-         "check FILE",
-         "check a questionnaire",
-         "Checks a team's questionnaire and names every field that is wrong.",
+         "new | check FILE | show TEAM",
+         "start, check or show a questionnaire",
+         "Prints an empty questionnaire, checks a team's and names every field that is wrong, or shows the "
+         "answers in force.",
+         "clementinegap questionnaire new > lanyu.questionnaire.json\n"
          "clementinegap questionnaire check lanyu.questionnaire.json",
-         {},
-         on_words(questionnaire_command)},
+         {platform_option},
+         questionnaire_command},
         {"record",
          "show|resolve WORKSPACE KEY",
          "show or settle the run record of a never-repeat request",
--- a/main/daemon_base.h
+++ b/main/daemon_base.h
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 
 namespace clementinegap {
 
@@ -41,6 +42,10 @@
     /// An item that another daemon published arrived.
     virtual void item_seen(const soft_item& item) = 0;
     virtual bool ready() const = 0;
+    /// Takes an engine order of the admin address; only a role with an engine has one.
+    virtual bool take_order(const http_request& /*request*/) { return false; }
+    /// Answers an admin request with a result code, from any thread.
+    void answer_admin(const http_request& request, result_code code);
 
     void apply(const emit_record& action, time_point now);
     void drain_finished();
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -3,6 +3,8 @@
 #include "core/digest.h"
 #include "request/decision_reason.h"
 #include "request/model_list.h"
+#include "request/shutdown_schedule.h"
+#include "request/truth.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +24,7 @@
 constexpr std::int64_t stall_intervals = 20; ///< Missing tokens that make a stall.
 constexpr duration least_retry_after = milliseconds(100);
 constexpr std::uint64_t max_undrained = 65536;
+constexpr duration quarantine_retry_after = std::chrono::minutes(10);
 constexpr std::string_view stream_content_type = "text/event-stream";
 
 bool is_stream(std::string_view content_type)
@@ -39,6 +42,12 @@
     return text;
 }
 
+/// What is known of a dispatched attempt: only the upstream's own answer proves that the request reached it.
+ran_state ran_so_far(const entry_request& request)
+{
+    return request.status != 0 ? ran_state::yes : ran_state::unknown;
+}
+
 } // namespace
 
 entry_core::entry_core(entry_settings settings)
@@ -89,7 +98,9 @@
 void entry_core::refuse_caller(const caller_request& event, const failure_notice& notice)
 {
     const auto id = new_request_id();
-    actions_.emplace_back(failure_answer(event.caller, notice, id));
+    auto answer = failure_answer(event.caller, notice, id);
+    add_sunset(answer.headers);
+    actions_.emplace_back(std::move(answer));
     actions_.emplace_back(emit_record{{"request.refused_at_admission", id, event.class_name, "", "",
                                        std::string(describe(notice.code).name)}});
 }
@@ -127,13 +138,13 @@
 std::optional<failure_notice> entry_core::refuse_at_admission(const caller_request& input) const
 {
     if (configuration_ == nullptr) {
-        return failure_notice{result_code::not_ready, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::not_ready, input, default_retry_after);
     }
-    if (configuration_->shutdown.ends_at && now_ >= *configuration_->shutdown.ends_at) {
-        return failure_notice{result_code::shut_down, ran_state::no, duration::zero(), ""};
+    if (has_ended(configuration_->shutdown, now_)) {
+        return refusal(result_code::shut_down, input, duration::zero());
     }
     if (draining_) {
-        return failure_notice{result_code::leaving, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::leaving, input, default_retry_after);
     }
     if (workspace_of(input.key_sha256) == nullptr) {
         return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
@@ -157,8 +168,11 @@
     if (rules->key_required && input.idempotency_key.empty()) {
         return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
     }
+    if (!admits(configuration_->shutdown, *rules, now_)) {
+        return refusal(result_code::shut_down, input, duration::zero());
+    }
     if (requests_.size() >= settings_.max_requests) {
-        return failure_notice{result_code::table_full, ran_state::no, default_retry_after, ""};
+        return refusal(result_code::table_full, input, default_retry_after);
     }
     return std::nullopt;
 }
@@ -195,6 +209,14 @@
     }
 }
 
+failure_notice entry_core::refusal(result_code code, const caller_request& input, duration retry_after) const
+{
+    // Without a configuration the class is not known; a key may then name a run.
+    const auto* rules = configuration_ == nullptr ? nullptr : class_of(input);
+    const bool keyed = rules == nullptr ? !input.idempotency_key.empty() : is_keyed_run(*rules, input);
+    return {code, keyed ? ran_for_key(code, ran_state::no) : ran_state::no, retry_after, ""};
+}
+
 entry_core::request_ptr entry_core::admit(const caller_request& input, const request_class& rules,
                                           const workspace& owner)
 {
@@ -207,6 +229,7 @@
     request->fingerprint = sha256_hex({owner.name, input.path, input.body});
     request->arrived = now_;
     request->deadline_at = now_ + std::min(rules.deadline, input.deadline.value_or(rules.deadline));
+    request->deadline_at = std::min(request->deadline_at, configuration_->shutdown.ends_at.value_or(never));
     request->target_at = now_ + rules.first_token_target;
     request->deadline_timer =
         timers_.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
@@ -259,6 +282,13 @@
 
 void entry_core::place(const request_ptr& request)
 {
+    if (request->running && poison_.is_quarantined(request->fingerprint, now_)) {
+        return; // What runs is not started a second time beside it.
+    }
+    if (poison_.is_quarantined(request->fingerprint, now_)) {
+        fail(request, {result_code::quarantined, ran_state::no, quarantine_retry_after, ""});
+        return;
+    }
     const auto possible = candidates(*request);
     if (possible.empty()) {
         give_up_or_wait(request);
@@ -341,7 +371,7 @@
 {
     const bool out_of_patience = now_ >= request->arrived + settings_.placement_patience;
     if (out_of_patience) {
-        fail(request, {request->last_refusal, request->dispatches == 0 ? ran_state::no : ran_state::yes,
+        fail(request, {request->last_refusal, ran_state::no,
                        std::max(request->last_retry_after, default_retry_after), ""});
         return;
     }
@@ -388,6 +418,7 @@
     request->received = 0;
     request->progress_at = now_;
     prefixes_.sent(request->input.prefix_hashes, granted.vm);
+    request->status = 0;
     request->first_dispatch_at = std::min(request->first_dispatch_at, now_);
     dispatch_message message;
     message.attempt = granted.attempt;
@@ -473,9 +504,11 @@
     withdraw_reservations(*request, &granted);
     const auto former = *request->running;
     if (hedges) {
+        const auto status = request->status;
         request->running.reset();
         dispatch(request, {vm, granted});
         --request->dispatches;
+        request->status = status;
         request->hedge = std::exchange(request->running, former);
         record(*request, "request.hedged", vm, "");
         return;
@@ -566,7 +599,7 @@
         if (is_hedge(*request, attempt)) {
             drop_hedge(*request);
         } else if (is_running(*request, attempt)) {
-            attempt_lost(request, result_code::upstream_lost, ran_state::unknown);
+            attempt_lost(request, result_code::upstream_lost, ran_so_far(*request));
         } else {
             drop_reservation(request, attempt);
         }
@@ -642,6 +675,9 @@
 void entry_core::on_message(const std::string& vm, const granted_message& message)
 {
     const auto request = find_attempt(message.attempt);
+    if (request != nullptr && is_running(*request, message.attempt)) {
+        return; // A repetition of the grant that was taken.
+    }
     const bool is_open = request != nullptr &&
                          std::ranges::find(request->reservations, message.attempt, &reservation::attempt) !=
                              request->reservations.end();
@@ -721,6 +757,9 @@
         return;
     }
     request->progress_at = now_;
+    if (message.offset + message.bytes.size() <= request->received) {
+        return; // Delivered before.
+    }
     if (message.offset != request->received) {
         // A gap or a repetition can only come from a fault of the peer; the answer would not be the
         // upstream's.
@@ -760,7 +799,16 @@
 
 header_list entry_core::answer_headers(const entry_request& request) const
 {
-    return {{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
+    header_list headers{{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
+    add_sunset(headers);
+    return headers;
+}
+
+void entry_core::add_sunset(header_list& headers) const
+{
+    if (configuration_ != nullptr && configuration_->shutdown.ends_at) {
+        headers.emplace_back("Sunset", http_date(*configuration_->shutdown.ends_at));
+    }
 }
 
 void entry_core::send_head(entry_request& request)
@@ -794,7 +842,8 @@
         actions_.emplace_back(answer_bytes{request.input.caller, std::exchange(request.held, {})});
     }
     request.undrained += bytes.size();
-    request.at_event_end = bytes.ends_with("\n\n");
+    // After the end mark nothing is left to go on with.
+    request.at_event_end = bytes.ends_with("\n\n") && bytes.find("[DONE]") == std::string::npos;
     actions_.emplace_back(answer_bytes{request.input.caller, std::move(bytes)});
 }
 
@@ -826,10 +875,11 @@
     finish(request, result_code::ok, ran_state::yes);
 }
 
-bool entry_core::may_start_again(const entry_request& request) const
+bool entry_core::may_start_again(const entry_request& request, ran_state ran) const
 {
-    return request.rules.repeat != repeat_rule::never && !request.caller_left &&
-           (!request.head_sent || can_resume(request)) && request.dispatches < settings_.max_dispatches;
+    const bool may_repeat = request.rules.repeat != repeat_rule::never || ran == ran_state::no;
+    return may_repeat && !request.caller_left && (!request.head_sent || can_resume(request)) &&
+           request.dispatches < settings_.max_dispatches;
 }
 
 bool entry_core::can_resume(const entry_request& request) const
@@ -850,9 +900,10 @@
         adopt_hedge(*request);
         return;
     }
+    request->ran = std::max(request->ran, ran);
     const bool within_budget =
         !is_late_bound() || retries_.take(static_cast<std::uint8_t>(request->rules.tier));
-    if (!may_start_again(*request) || !within_budget) {
+    if (!may_start_again(*request, ran) || !within_budget) {
         fail(request, {code, ran, duration::zero(), ""});
         return;
     }
@@ -869,18 +920,25 @@
 void entry_core::on_deadline(const request_ptr& request)
 {
     request->deadline_timer = 0;
-    auto ran = request->dispatches == 0 ? ran_state::no : ran_state::unknown;
-    if (request->running && request->running->started) {
-        ran = ran_state::yes;
+    auto ran = ran_state::no;
+    if (request->running) {
+        ran = ran_so_far(*request);
     }
     fail(request, {result_code::deadline_expired, ran, duration::zero(), ""});
 }
 
-void entry_core::fail(const request_ptr& request, const failure_notice& notice)
+void entry_core::fail(const request_ptr& request, const failure_notice& cause)
 {
+    auto notice = cause;
+    notice.ran = std::max(request->ran, cause.ran);
+    if (is_keyed_run(request->rules, request->input)) {
+        notice.ran = ran_for_key(cause.code, notice.ran);
+    }
     if (!request->caller_left) {
         if (!request->head_sent) {
-            actions_.emplace_back(failure_answer(request->input.caller, notice, request->id));
+            auto answer = failure_answer(request->input.caller, notice, request->id);
+            add_sunset(answer.headers);
+            actions_.emplace_back(std::move(answer));
         } else if (is_stream(request->content_type)) {
             actions_.emplace_back(
                 answer_bytes{request->input.caller, failure_stream_event(notice, request->id)});
@@ -942,11 +1000,9 @@
     }
     const auto request = found->second;
     request->caller_left = true;
-    const bool runs_to_its_end = request->running && request->rules.repeat == repeat_rule::never;
-    if (!runs_to_its_end) {
-        finish(request, result_code::cancelled,
-               request->dispatches == 0 ? ran_state::no : ran_state::unknown);
-    }
+    // A never-repeat run goes on at its upstream daemon, which keeps the outcome.
+    const auto ran = request->running ? ran_state::unknown : ran_state::no;
+    finish(request, result_code::cancelled, std::max(request->ran, ran));
 }
 
 void entry_core::handle(const configuration_applied& event)
@@ -976,6 +1032,7 @@
 void entry_core::handle(const soft_item_seen& event)
 {
     limits_.item_seen(event.item, now_);
+    poison_.on_item(event.item, now_);
 }
 
 void entry_core::handle(const tick& /*event*/)
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -5,6 +5,7 @@
 #include "policy/prefix_history.h"
 #include "policy/rate_limiter.h"
 #include "policy/share_budget.h"
+#include "policy/poison.h"
 #include "policy/upstream_view.h"
 #include "request/entry_events.h"
 #include "request/entry_request.h"
@@ -88,6 +89,7 @@
     void refuse_caller(const caller_request& event, const failure_notice& notice);
     std::optional<failure_notice> refuse_by_limit(const workspace& owner, const request_class& rules);
     void report_demand();
+    failure_notice refusal(result_code code, const caller_request& input, duration retry_after) const;
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
     void index_configuration();
     const workspace* workspace_of(const std::string& key_sha256) const;
@@ -119,8 +121,8 @@
     void deliver(entry_request& request, std::string bytes);
     void send_head(entry_request& request);
     void attempt_lost(const request_ptr& request, result_code code, ran_state ran);
-    bool may_start_again(const entry_request& request) const;
     bool can_resume(const entry_request& request) const;
+    bool may_start_again(const entry_request& request, ran_state ran) const;
     void on_deadline(const request_ptr& request);
     void fail(const request_ptr& request, const failure_notice& notice);
     void complete(const request_ptr& request);
@@ -128,6 +130,7 @@
 
     request_ptr find_attempt(attempt_id attempt) const;
     bool is_running(const entry_request& request, attempt_id attempt) const;
+    void add_sunset(header_list& headers) const;
     void record(const entry_request& request, std::string kind, std::string upstream, std::string detail);
     header_list answer_headers(const entry_request& request) const;
     std::string new_request_id();
@@ -151,6 +154,7 @@
     share_budget retries_;
     share_budget hedges_;
     timer_service::timer_id stall_timer_{0};
+    poison_book poison_;
     std::uint64_t last_attempt_{0};
     std::uint64_t last_request_{0};
     bool draining_{false};
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace clementinegap {
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
+constexpr duration crash_window = seconds(1); ///< Runs that break within it broke in the same crash.
+constexpr duration announce_interval = seconds(60);
 constexpr duration longest_retry_after = seconds(30);
 constexpr std::uint32_t lent_slice_tokens = 64; ///< Of the slice that an unserved class is given.
 constexpr int max_refused_at_once = 8;
@@ -33,7 +36,8 @@
 } // namespace
 
 upstream_core::upstream_core(upstream_settings settings)
-    : settings_(std::move(settings)), slots_(settings_.vm, pool_of(settings_), settings_.slots)
+    : settings_(std::move(settings)), slots_(settings_.vm, pool_of(settings_), settings_.slots),
+      claims_(settings_.claims)
 {
 }
 
@@ -42,6 +46,7 @@
     actions_.clear();
     now_ = std::max(now_, now);
     timers_.run_due(now_);
+    claims_.on_time(now_);
     slots_.drain().advance(now_, queued() > set_aside_);
     std::visit([this](const auto& value) { handle(value); }, event);
     give_out_slots();
@@ -49,6 +54,8 @@
         refuse_hopeless();
     }
     publish_load();
+    std::ranges::move(claims_.take_actions(), std::back_inserter(actions_));
+    finish_drain_when_idle();
     return actions_;
 }
 
@@ -68,6 +75,7 @@
     hello.leaving = draining_;
     actions_.emplace_back(send_to_entry{event.session, hello});
     actions_.emplace_back(send_to_entry{event.session, current_load()});
+    announce_incarnation();
 }
 
 void upstream_core::handle(const entry_disconnected& event)
@@ -82,7 +90,7 @@
     for (const auto& attempt : orphans) {
         const bool runs_to_its_end = at_engine(*attempt) && attempt->reservation.never_repeat;
         if (runs_to_its_end) {
-            attempt->detached = true;
+            detach(*attempt);
             record(*attempt, "run.detached", "the entry is gone and the request may not be repeated");
             continue;
         }
@@ -112,7 +120,12 @@
     attempt->credit = settings_.initial_credit;
     if (draining_) {
         send(*attempt, refused_message{message.attempt, result_code::leaving, duration::zero()});
-        remember(message.attempt);
+        remember(message.attempt, ran_state::no);
+        return;
+    }
+    if (poison_.is_quarantined(message.fingerprint, now_)) {
+        send(*attempt, refused_message{message.attempt, result_code::quarantined, default_retry_after});
+        remember(message.attempt, ran_state::no);
         return;
     }
     attempts_.emplace(message.attempt, attempt);
@@ -160,12 +173,13 @@
 {
     const auto attempt = find(message.attempt);
     if (attempt == nullptr) {
-        // Whether it ran is known only while it is remembered; a grant that lapsed never ran.
-        const bool lapsed = ended_.contains(message.attempt);
+        // Whether it ran is known only while it is remembered.
+        const auto ended = ended_.find(message.attempt);
+        const bool never_ran = ended != ended_.end() && ended->second == ran_state::no;
         const auto reply =
-            lapsed ? upstream_message(refused_message{message.attempt, result_code::overloaded, {}})
-                   : upstream_message(
-                         finished_message{message.attempt, result_code::upstream_lost, ran_state::unknown});
+            never_ran ? upstream_message(refused_message{message.attempt, result_code::overloaded, {}})
+                      : upstream_message(finished_message{message.attempt, result_code::upstream_lost,
+                                                          ran_state::unknown});
         actions_.emplace_back(send_to_entry{session, reply});
         return;
     }
@@ -175,6 +189,7 @@
     timers_.cancel(std::exchange(attempt->timer, 0));
     attempt->dispatch = message;
     if (is_keyed(*attempt)) {
+        release_slot(*attempt); // The table service may take long; the slot serves others meanwhile.
         claim(attempt);
     } else {
         start(attempt);
@@ -189,7 +204,7 @@
     }
     if (at_engine(*attempt)) {
         if (attempt->reservation.never_repeat) {
-            attempt->detached = true;
+            detach(*attempt);
             return;
         }
         actions_.emplace_back(engine_cancel{attempt->id});
@@ -225,6 +240,7 @@
 
 void upstream_core::give_out_slots()
 {
+    start_claimed_runs();
     if (!is_tiered()) {
         while (busy_slots_ < settings_.slots) {
             const auto work = std::get<fifo_order>(settings_.order).pop(now_);
@@ -279,6 +295,10 @@
         refuse(attempt, result_code::deadline_expired, duration::zero());
         return;
     }
+    if (must_wait_alone(*attempt)) {
+        parked_.push_back(attempt);
+        return;
+    }
     slots_.drain().left();
     grant(attempt);
 }
@@ -389,8 +409,7 @@
 
 bool upstream_core::holds_slot(const upstream_attempt& attempt) const
 {
-    return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::claiming ||
-           attempt.phase == attempt_phase::running;
+    return attempt.phase == attempt_phase::granted || attempt.phase == attempt_phase::running;
 }
 
 void upstream_core::release_slot(upstream_attempt& attempt)
@@ -402,6 +421,19 @@
     }
 }
 
+void upstream_core::give_back_place(upstream_attempt& attempt)
+{
+    if (holds_slot(attempt)) {
+        release_slot(attempt);
+    }
+    if (attempt.phase == attempt_phase::queued || attempt.phase == attempt_phase::set_aside) {
+        std::visit([&](auto& order) { order.erase(attempt.id); }, settings_.order);
+    }
+    if (attempt.phase == attempt_phase::set_aside) {
+        --set_aside_;
+    }
+}
+
 // --- Claims of never-repeat runs
 // ------------------------------------------------------------------------------
 
@@ -425,79 +457,130 @@
 void upstream_core::claim(const attempt_ptr& attempt)
 {
     attempt->phase = attempt_phase::claiming;
-    actions_.emplace_back(claim_run{record_of(*attempt)});
+    if (!claims_.claim(record_of(*attempt), now_)) {
+        refuse(attempt, result_code::overloaded, default_retry_after);
+        return;
+    }
     record(*attempt, "run.claiming", "");
 }
 
 void upstream_core::handle(const claim_answered& event)
+{
+    apply(claims_.on_answer(event, now_));
+}
+
+void upstream_core::handle(const record_read& event)
 {
     const auto attempt = find(event.attempt);
-    if (attempt == nullptr || attempt->phase != attempt_phase::claiming) {
+    if (attempt == nullptr || attempt->phase != attempt_phase::watching) {
+        apply(claims_.on_answer(event, now_));
         return;
     }
-    switch (event.result) {
-    case store_result::done:
-        start(attempt);
+    if (event.result == store_result::done) {
+        watch(attempt, event.record);
+    } else if (event.result == store_result::absent) {
+        // The other attempt gave its claim back without having run, so this one may try.
+        attempt->watching_since = never;
+        claim(attempt);
+    } else {
+        watch_later(attempt);
+    }
+}
+
+void upstream_core::handle(const finish_answered& event)
+{
+    claims_.on_answer(event, now_);
+}
+
+void upstream_core::handle(const release_answered& event)
+{
+    apply(claims_.on_answer(event, now_));
+}
+
+void upstream_core::apply(const std::optional<claim_verdict>& verdict)
+{
+    const auto attempt = verdict ? find(verdict->attempt) : nullptr;
+    if (attempt == nullptr) {
         return;
-    case store_result::exists:
-        watch(attempt, event.existing);
+    }
+    switch (verdict->what) {
+    case claim_verdict::kind::won:
+        attempt->phase = attempt_phase::claimed;
+        claimed_.push_back(attempt);
         return;
-    case store_result::absent:
-    case store_result::unavailable:
+    case claim_verdict::kind::found:
+        watch(attempt, verdict->record);
+        return;
+    case claim_verdict::kind::failed:
         refuse(attempt, result_code::store_unavailable, default_retry_after);
         return;
-    case store_result::unknown:
-        actions_.emplace_back(
-            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
+    case claim_verdict::kind::released:
+        refuse(attempt, result_code::upstream_failed, default_retry_after);
         return;
     }
 }
 
-void upstream_core::handle(const record_read& event)
+void upstream_core::start_claimed_runs()
 {
-    const auto attempt = find(event.attempt);
-    if (attempt == nullptr) {
-        return;
-    }
-    if (attempt->phase == attempt_phase::watching) {
-        watch(attempt, event.record);
-        return;
+    while (!claimed_.empty()) {
+        const auto attempt = claimed_.front();
+        const bool free = busy_slots_ < (is_tiered() ? slots_.limit(now_) : settings_.slots);
+        const auto yielding = free ? std::nullopt : yielding_run(attempt->reservation.tier);
+        if (!free && !yielding) {
+            return;
+        }
+        if (yielding) {
+            set_aside(runs_.at(*yielding));
+        }
+        claimed_.pop_front();
+        start_claimed(attempt);
     }
-    if (attempt->phase != attempt_phase::claiming) {
+}
+
+void upstream_core::start_claimed(const attempt_ptr& attempt)
+{
+    if (now_ >= attempt->deadline_at) {
+        refuse(attempt, result_code::deadline_expired, duration::zero());
         return;
     }
-    if (event.result == store_result::absent) {
-        claim(attempt);
-    } else if (event.result != store_result::done) {
-        actions_.emplace_back(
-            read_run{event.attempt, attempt->reservation.workspace, attempt->reservation.key});
-    } else if (event.record.attempt == event.attempt) {
-        start(attempt);
-    } else {
-        watch(attempt, event.record);
-    }
+    ++busy_slots_;
+    start(attempt);
 }
 
 void upstream_core::watch(const attempt_ptr& attempt, const run_record& record_found)
 {
-    if (holds_slot(*attempt)) {
-        release_slot(*attempt);
-    }
     attempt->phase = attempt_phase::watching;
-    if (record_found.fingerprint != attempt->reservation.fingerprint) {
-        refuse(attempt, result_code::key_reused, duration::zero());
+    attempt->watching_since = std::min(attempt->watching_since, now_);
+    const auto* here = claims_.own(record_found.workspace, record_found.key);
+    const auto& known = here != nullptr ? *here : record_found;
+    const bool ended = known.phase == run_phase::finished;
+    if (known.fingerprint != attempt->reservation.fingerprint) {
+        // A started record may yet be given back, after which a delayed send of this body may run.
+        finish(attempt, result_code::key_reused, ended ? ran_state::no : ran_state::unknown);
         return;
     }
-    if (record_found.phase == run_phase::finished) {
-        answer_from(attempt, record_found);
+    if (ended) {
+        answer_from(attempt, known);
         return;
     }
-    if (now_ + settings_.watch_interval >= attempt->deadline_at) {
+    const bool owner_is_gone = here == nullptr && owners_.is_gone(known.upstream, known.incarnation);
+    const bool out_of_patience = here == nullptr && now_ >= attempt->watching_since + settings_.watch_limit;
+    if (owner_is_gone || out_of_patience || now_ + settings_.watch_interval >= attempt->deadline_at) {
         finish(attempt, result_code::outcome_unknown, ran_state::unknown);
         return;
     }
+    watch_later(attempt);
+}
+
+void upstream_core::watch_later(const attempt_ptr& attempt)
+{
+    timers_.cancel(attempt->timer);
     attempt->timer = timers_.schedule(now_ + settings_.watch_interval, [this, attempt](time_point) {
         attempt->timer = 0;
+        if (now_ >= attempt->watching_since + settings_.watch_limit + settings_.watch_limit) {
+            finish(attempt, result_code::outcome_unknown, ran_state::unknown);
+            return;
+        }
         actions_.emplace_back(
             read_run{attempt->reservation.attempt, attempt->reservation.workspace, attempt->reservation.key});
     });
@@ -506,10 +589,12 @@
 void upstream_core::answer_from(const attempt_ptr& attempt, const run_record& record_found)
 {
     record(*attempt, "run.answered_from_record", record_found.upstream);
-    if (record_found.code != result_code::ok || !record_found.answer) {
-        finish(attempt,
-               record_found.code == result_code::ok ? result_code::outcome_unknown : record_found.code,
-               ran_state::yes);
+    if (record_found.code != result_code::ok) {
+        finish(attempt, result_code::outcome_unknown, record_found.ran);
+        return;
+    }
+    if (!record_found.answer) {
+        finish(attempt, result_code::answer_not_kept, ran_state::yes);
         return;
     }
     const auto id = attempt->reservation.attempt;
@@ -518,11 +603,6 @@
     finish(attempt, result_code::ok, ran_state::yes);
 }
 
-void upstream_core::handle(const finish_answered& /*event*/)
-{
-    // The outcome is on record, or a resend will be told that it is unknown.
-}
-
 // --- Runs at the engine
 // ---------------------------------------------------------------------------------------
 
@@ -589,12 +669,26 @@
 
 void upstream_core::keep(upstream_attempt& attempt, const std::string& bytes)
 {
-    if (!is_keyed(attempt) || attempt.kept_answer.size() > settings_.max_kept_answer) {
+    if (!is_keyed(attempt) || attempt.answer_dropped) {
+        return;
+    }
+    if (attempt.kept_answer.size() + bytes.size() > settings_.max_kept_answer) {
+        attempt.answer_dropped = true;
+        attempt.kept_answer = {};
         return;
     }
     attempt.kept_answer += bytes;
 }
 
+void upstream_core::detach(upstream_attempt& attempt)
+{
+    attempt.detached = true;
+    // Nobody gives credit any more, and a run that is not read would never end.
+    if (std::exchange(attempt.on_hold, false)) {
+        actions_.emplace_back(engine_read{attempt.id});
+    }
+}
+
 void upstream_core::handle(const engine_ended& event)
 {
     const auto found = runs_.find(event.run);
@@ -605,18 +699,68 @@
     note_engine_health(event.kind);
     switch (event.kind) {
     case engine_end_kind::complete:
-        store_outcome(*attempt, result_code::ok);
+        if (auto cleared = poison_.ended_well(attempt->reservation.fingerprint, now_)) {
+            actions_.emplace_back(publish_item{std::move(*cleared)});
+        }
+        store_outcome(*attempt, result_code::ok, ran_state::yes);
         finish(attempt, result_code::ok, ran_state::yes);
         return;
     case engine_end_kind::not_reached:
-        store_outcome(*attempt, result_code::upstream_failed);
+        end_without_answer(attempt);
+        return;
+    case engine_end_kind::broken: {
+        blame_running_work();
+        const bool silent = attempt->sent == 0 && attempt->tokens == 0;
+        const auto code = silent ? result_code::upstream_failed : result_code::answer_truncated;
+        const auto ran = silent ? ran_state::unknown : ran_state::yes;
+        store_outcome(*attempt, code, ran);
+        finish(attempt, code, ran);
+        return;
+    }
+    }
+}
+
+void upstream_core::end_without_answer(const attempt_ptr& attempt)
+{
+    if (!is_keyed(*attempt)) {
         finish(attempt, result_code::upstream_failed, ran_state::no);
         return;
-    case engine_end_kind::broken:
-        finish(attempt, attempt->sent == 0 ? result_code::upstream_failed : result_code::answer_truncated,
-               attempt->sent == 0 ? ran_state::unknown : ran_state::yes);
+    }
+    // The record is given back first, so that the next attempt finds the key free.
+    give_back_place(*attempt);
+    attempt->phase = attempt_phase::claiming;
+    claims_.release(attempt->reservation.attempt, now_);
+}
+
+void upstream_core::blame_running_work()
+{
+    if (blamed_at_ != time_point{} && now_ < blamed_at_ + crash_window) {
         return;
     }
+    blamed_at_ = now_;
+    std::vector<std::string> running;
+    for (const auto& [id, attempt] : runs_) {
+        if (at_engine(*attempt)) {
+            running.push_back(attempt->reservation.fingerprint);
+        }
+    }
+    for (auto& item : poison_.crashed(running, now_)) {
+        actions_.emplace_back(publish_item{std::move(item)});
+    }
+}
+
+bool upstream_core::must_wait_alone(const upstream_attempt& attempt) const
+{
+    const auto is_suspect = [this](const upstream_attempt& one) {
+        return poison_.is_suspect(one.reservation.fingerprint, now_);
+    };
+    return is_suspect(attempt) && std::ranges::any_of(runs_, [&](const auto& item) {
+               const auto& other = *item.second;
+               const bool is_out = holds_slot(other) || at_engine(other) ||
+                                   other.phase == attempt_phase::claiming ||
+                                   other.phase == attempt_phase::claimed;
+               return is_out && is_suspect(other);
+           });
 }
 
 void upstream_core::note_engine_health(engine_end_kind kind)
@@ -632,7 +776,7 @@
     }
 }
 
-void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code)
+void upstream_core::store_outcome(const upstream_attempt& attempt, result_code code, ran_state ran)
 {
     if (!is_keyed(attempt)) {
         return;
@@ -640,10 +784,11 @@
     auto row = record_of(attempt);
     row.phase = run_phase::finished;
     row.code = code;
-    if (attempt.kept_answer.size() <= settings_.max_kept_answer) {
+    row.ran = ran;
+    if (code == result_code::ok && !attempt.answer_dropped) {
         row.answer = stored_answer{attempt.status, attempt.content_type, attempt.kept_answer};
     }
-    actions_.emplace_back(finish_run{std::move(row)});
+    claims_.finish(row, now_);
 }
 
 // --- Ends
@@ -671,26 +816,24 @@
 void upstream_core::forget(const attempt_ptr& attempt)
 {
     timers_.cancel(std::exchange(attempt->timer, 0));
-    if (holds_slot(*attempt)) {
-        release_slot(*attempt);
-    }
-    if (attempt->phase == attempt_phase::queued || attempt->phase == attempt_phase::set_aside) {
-        std::visit([&](auto& order) { order.erase(attempt->id); }, settings_.order);
-    }
-    if (attempt->phase == attempt_phase::set_aside) {
-        --set_aside_;
+    give_back_place(*attempt);
+    if (attempt->phase == attempt_phase::claiming || attempt->phase == attempt_phase::claimed) {
+        claims_.abandon(attempt->reservation.attempt, now_);
+        std::erase(claimed_, attempt);
     }
     runs_.erase(attempt->id);
     attempts_.erase(attempt->reservation.attempt);
-    remember(attempt->reservation.attempt);
-    if (draining_ && attempts_.empty()) {
-        actions_.emplace_back(drained{});
+    std::erase(parked_, attempt);
+    for (const auto& parked : std::exchange(parked_, {})) {
+        std::visit([&](auto& order) { order.push(parked->work); }, settings_.order);
     }
+    const bool ran = at_engine(*attempt);
+    remember(attempt->reservation.attempt, ran ? ran_state::unknown : ran_state::no);
 }
 
-void upstream_core::remember(attempt_id attempt)
+void upstream_core::remember(attempt_id attempt, ran_state ran)
 {
-    if (!ended_.insert(attempt).second) {
+    if (!ended_.emplace(attempt, ran).second) {
         return;
     }
     ended_order_.push_back(attempt);
@@ -716,9 +859,18 @@
     for (const auto& attempt : waiting) {
         refuse(attempt, result_code::leaving, duration::zero());
     }
-    if (waiting.empty() && attempts_.empty()) {
-        actions_.emplace_back(drained{});
+    drain_gives_up_at_ = now_ + settings_.drain_patience;
+    timers_.schedule(drain_gives_up_at_, [](time_point) {});
+}
+
+void upstream_core::finish_drain_when_idle()
+{
+    const bool idle = attempts_.empty() && (claims_.empty() || now_ >= drain_gives_up_at_);
+    if (!draining_ || drained_said_ || !idle) {
+        return;
     }
+    drained_said_ = true;
+    actions_.emplace_back(drained{});
 }
 
 // --- The rest
@@ -728,13 +880,34 @@
 {
     if (configuration_ == nullptr || event.value->version > configuration_->version) {
         configuration_ = event.value;
+        plan_shutdown();
         actions_.emplace_back(emit_record{
             {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
     }
 }
 
+void upstream_core::plan_shutdown()
+{
+    timers_.cancel(std::exchange(shutdown_timer_, 0));
+    if (const auto ends_at = configuration_->shutdown.ends_at) {
+        // Nothing is admitted that runs past the date; what is left then is finished like at any other stop.
+        shutdown_timer_ = timers_.schedule(*ends_at, [this](time_point) { handle(drain_started{}); });
+    }
+}
+
+void upstream_core::announce_incarnation()
+{
+    if (announced_at_ != time_point{} && now_ < announced_at_ + announce_interval) {
+        return;
+    }
+    announced_at_ = now_;
+    actions_.emplace_back(publish_item{owner_item(settings_.vm, settings_.incarnation)});
+}
+
 void upstream_core::handle(const soft_item_seen& event)
 {
+    owners_.on_item(event.item);
+    poison_.on_item(event.item, now_);
     if (is_tiered()) {
         slots_.item_seen(event.item, now_);
     }
