--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -3,6 +3,9 @@
 #include "core/timer_service.h"
 #include "policy/placement.h"
 #include "policy/poison.h"
+#include "policy/prefix_history.h"
+#include "policy/rate_limiter.h"
+#include "policy/share_budget.h"
 #include "policy/upstream_view.h"
 #include "request/entry_events.h"
 #include "request/entry_request.h"
@@ -14,6 +17,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +34,13 @@
     std::uint32_t max_dispatches{3};       ///< Attempts of one repeatable request.
     duration placement_interval{milliseconds(50)};
     duration placement_patience{seconds(1)}; ///< How long a request waits for a first reachable upstream.
+    double retry_share{0.1};                 ///< Retries per request.
+    double hedge_share{0.02};                ///< Hedges per request.
+    double budget_depth{32};                 ///< Retries or hedges that may be saved up.
+    std::size_t max_considered{24};          ///< Upstreams that one placement looks at.
+    std::size_t max_reservations{24};        ///< Of one request at a time.
+    std::size_t max_prefixes{65536};         ///< That are remembered for placement.
+    std::uint32_t max_moves{4};              ///< Of one stream away from slowed upstreams.
     placement_policy placement{late_bound_placement{}};
 };
 
@@ -75,14 +86,34 @@
     void on_message(const std::string& vm, const finished_message& message);
 
     std::optional<failure_notice> refuse_at_admission(const caller_request& input) const;
+    void refuse_caller(const caller_request& event, const failure_notice& notice);
+    std::optional<failure_notice> refuse_by_limit(const workspace& owner, const request_class& rules);
+    void report_demand();
     failure_notice refusal(result_code code, const caller_request& input, duration retry_after) const;
     request_ptr admit(const caller_request& input, const request_class& rules, const workspace& owner);
+    void index_configuration();
+    const workspace* workspace_of(const std::string& key_sha256) const;
+    void join_pools(const upstream_view& view, const std::vector<std::string>& former_models);
+    bool was_asked(const entry_request& request, const std::string& vm) const;
     const request_class* class_of(const caller_request& input) const;
 
     void place(const request_ptr& request);
-    std::vector<const upstream_view*> candidates(const entry_request& request) const;
+    std::vector<const upstream_view*> candidates(const entry_request& request);
     void reserve(const request_ptr& request, const upstream_view& view);
     void place_later(const request_ptr& request);
+    void widen_later(const request_ptr& request);
+    void give_up_or_wait(const request_ptr& request);
+    bool is_late_bound() const { return std::holds_alternative<late_bound_placement>(settings_.placement); }
+    bool may_move(const entry_request& request) const;
+    void move_from(const std::string& vm);
+    void look_for_stalls();
+    void hedge_later(const request_ptr& request);
+    void take_over(const request_ptr& request, const attempt_id& granted, const std::string& vm);
+    void settle_hedge(entry_request& request, attempt_id winner);
+    bool is_hedge(const entry_request& request, attempt_id attempt) const;
+    void drop_hedge(entry_request& request);
+    static void adopt_hedge(entry_request& request);
+    void forget_attempt(const std::string& vm, attempt_id attempt);
     void dispatch(const request_ptr& request, const reservation& granted);
     void withdraw_reservations(entry_request& request, const attempt_id* except);
     void drop_reservation(const request_ptr& request, attempt_id attempt);
@@ -90,6 +121,7 @@
     void deliver(entry_request& request, std::string bytes);
     void send_head(entry_request& request);
     void attempt_lost(const request_ptr& request, result_code code, ran_state ran);
+    bool can_resume(const entry_request& request) const;
     bool may_start_again(const entry_request& request, ran_state ran) const;
     void on_deadline(const request_ptr& request);
     void fail(const request_ptr& request, const failure_notice& notice);
@@ -109,9 +141,19 @@
     time_point now_{};
     configuration_ptr configuration_;
     std::map<std::string, upstream_view, std::less<>> upstreams_;
+    std::map<std::string, std::vector<const upstream_view*>, std::less<>> pools_; ///< By model.
+    std::unordered_map<std::string_view, const workspace*> workspaces_by_key_;
+    std::unordered_map<std::string_view, const request_class*> classes_by_name_;
     std::set<std::string, std::less<>> leaving_upstreams_; ///< By the cluster's word.
     std::unordered_map<caller_id, request_ptr> requests_;
     std::map<attempt_id, request_ptr> attempts_;
+    std::map<std::string, std::set<attempt_id>, std::less<>> attempts_by_vm_;
+    prefix_history prefixes_;
+    rate_limiter limits_;
+    timer_service::timer_id report_timer_{0};
+    share_budget retries_;
+    share_budget hedges_;
+    timer_service::timer_id stall_timer_{0};
     poison_book poison_;
     std::uint64_t last_attempt_{0};
     std::uint64_t last_request_{0};
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -12,6 +12,7 @@
 constexpr duration crash_window = seconds(1); ///< Runs that break within it broke in the same crash.
 constexpr duration announce_interval = seconds(60);
 constexpr duration longest_retry_after = seconds(30);
+constexpr std::uint32_t lent_slice_tokens = 64; ///< Of the slice that an unserved class is given.
 constexpr int max_refused_at_once = 8;
 constexpr duration least_slice_wait = milliseconds(100);
 constexpr duration least_wait_step = milliseconds(50); ///< Of the expected wait, as it is reported.
@@ -271,7 +272,7 @@
 
 std::optional<run_id> upstream_core::yielding_run(std::uint8_t tier) const
 {
-    const bool possible = slots_.limit(now_) > 0 && set_aside_ < settings_.max_set_aside;
+    const bool possible = is_tiered() && slots_.limit(now_) > 0 && set_aside_ < settings_.max_set_aside;
     return possible ? slots_.slices().victim(tier) : std::nullopt;
 }
 
@@ -342,7 +343,8 @@
     const auto& about = attempt->reservation;
     const auto* rules = configuration_ == nullptr ? nullptr : configuration_->find_class(about.class_name);
     const bool pausable = rules == nullptr || !rules->is_service;
-    const auto quantum = about.quantum_tokens == 0 ? UINT32_MAX : about.quantum_tokens;
+    const auto full_quantum = about.quantum_tokens == 0 ? UINT32_MAX : about.quantum_tokens;
+    const auto quantum = attempt->starved ? std::min(full_quantum, lent_slice_tokens) : full_quantum;
     attempt->last_token_at = never;
     slots_.slices().begin({attempt->id, about.tier, quantum, pausable, attempt->starved});
 }
@@ -923,6 +925,7 @@
     load.free_slots = busy_slots_ < limit ? limit - busy_slots_ : 0;
     load.queued = static_cast<std::uint32_t>(queued());
     load.expected_wait = slots_.expected_wait(queued(), now_).value_or(duration::zero());
+    load.yields_tier = is_tiered() ? slots_.slices().lowest_yielding().value_or(0) : 0;
     load.slowed = is_tiered() && slots_.slowed(now_);
     load.leaving = draining_;
     return load;
@@ -939,6 +942,7 @@
     // Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken,
     // and the wait in doublings.
     const bool matters = load.leaving != published_.leaving || load.slowed != published_.slowed ||
+                         load.yields_tier != published_.yields_tier ||
                          (load.free_slots == 0) != (published_.free_slots == 0) ||
                          (load.queued == 0) != (published_.queued == 0) ||
                          std::abs(wait_step(load.expected_wait) - wait_step(published_.expected_wait)) > 1;
