--- a/adapters/run_record_codec.cpp
+++ b/adapters/run_record_codec.cpp
@@ -18,6 +18,7 @@
              {"attempt", {record.attempt.entry, record.attempt.number}},
              {"upstream", record.upstream},
              {"incarnation", record.incarnation},
+             {"claim", record.claim},
              {"phase", record.phase == run_phase::finished ? "finished" : "started"},
              {"code", static_cast<int>(record.code)},
              {"ran", std::string(to_string(record.ran))}};
@@ -44,6 +45,7 @@
                           row.at("attempt").at(1).get<std::uint64_t>()};
         record.upstream = row.at("upstream").get<std::string>();
         record.incarnation = row.at("incarnation").get<std::uint64_t>();
+        record.claim = row.value("claim", std::uint64_t{0});
         record.phase = row.at("phase") == "finished" ? run_phase::finished : run_phase::started;
         record.code = describe(static_cast<result_code>(row.at("code").get<int>())).code;
         const auto ran = row.value("ran", "yes");
--- a/adapters/run_store.cpp
+++ b/adapters/run_store.cpp
@@ -101,7 +101,7 @@
     const auto key = run_row_key(record.workspace, record.key);
     table_.read(std::string(run_table), key, [this, record, key](const read_result& found) {
         const auto row = run_record_from_text(found.row.value);
-        if (found.result != store_result::done || !row || row->attempt != record.attempt) {
+        if (found.result != store_result::done || !row || !is_same_claim(*row, record)) {
             const auto result = found.result == store_result::done ? store_result::exists : found.result;
             tell(finish_answered{record.attempt, result});
             return;
@@ -121,7 +121,7 @@
     const auto key = run_row_key(record.workspace, record.key);
     table_.read(std::string(run_table), key, [this, record, key](const read_result& found) {
         const auto row = run_record_from_text(found.row.value);
-        const bool own = found.result == store_result::done && row && row->attempt == record.attempt &&
+        const bool own = found.result == store_result::done && row && is_same_claim(*row, record) &&
                          row->phase == run_phase::started;
         if (!own) {
             const auto result = found.result == store_result::done ? store_result::exists : found.result;
--- a/observability/timeline_explanation.cpp
+++ b/observability/timeline_explanation.cpp
@@ -35,6 +35,7 @@
     phrase{"slot.lent", "%u lent it a slot for one slice"},
     phrase{"run.set_aside", "%u set it aside for other work"},
     phrase{"attempt.displaced", "%u gave its place in the queue to work of a higher tier"},
+    phrase{"request.displaced", "it gave its place in the full table to a request of a higher tier"},
     phrase{"attempt.refused", "%u refused the attempt"},
     phrase{"attempt.ended", "the attempt at %u ended"},
 };
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -7,6 +7,7 @@
 #include "request/truth.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace clementinegap {
@@ -92,6 +93,11 @@
         refuse_caller(event, *notice);
         return;
     }
+    if (requests_.size() >= settings_.max_requests) {
+        const auto displaced = waiting_below(rules.tier);
+        record(*displaced, "request.displaced", "", "the table is full and a request of a higher tier came");
+        fail(displaced, {result_code::table_full, ran_state::no, default_retry_after, ""});
+    }
     const auto request = admit(event, rules, owner);
     record(*request, "request.admitted", "", admission_reason(*request));
     retries_.request_seen();
@@ -102,6 +108,24 @@
     place(request);
 }
 
+entry_core::request_ptr entry_core::waiting_below(int tier) const
+{
+    request_ptr lowest;
+    for (const auto& [caller, request] : requests_) {
+        const bool waits = !request->running && request->dispatches == 0 && !request->caller_left;
+        if (!waits || request->rules.tier <= tier) {
+            continue;
+        }
+        const auto rank = [](const entry_request& item) {
+            return std::tuple(item.rules.tier, item.arrived, item.id);
+        };
+        if (lowest == nullptr || rank(*request) > rank(*lowest)) {
+            lowest = request;
+        }
+    }
+    return lowest;
+}
+
 void entry_core::refuse_caller(const caller_request& event, const failure_notice& notice)
 {
     const auto id = new_request_id();
@@ -178,7 +202,7 @@
     if (!admits(configuration_->shutdown, *rules, now_)) {
         return refusal(result_code::shut_down, input, duration::zero());
     }
-    if (requests_.size() >= settings_.max_requests) {
+    if (requests_.size() >= settings_.max_requests && waiting_below(rules->tier) == nullptr) {
         return refusal(result_code::table_full, input, default_retry_after);
     }
     return std::nullopt;
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -97,6 +97,9 @@
     bool was_asked(const entry_request& request, const std::string& vm) const;
     const request_class* class_of(const caller_request& input) const;
 
+    /// The waiting request of the lowest tier below `tier`, the last to arrive; nullptr without one.
+    request_ptr waiting_below(int tier) const;
+
     void place(const request_ptr& request);
     std::vector<const upstream_view*> candidates(const entry_request& request);
     void reserve(const request_ptr& request, const upstream_view& view);
--- a/request/run_claims.cpp
+++ b/request/run_claims.cpp
@@ -19,6 +19,7 @@
     }
     auto& open = open_[record.attempt];
     open.record = record;
+    open.record.claim = ++last_claim_;
     ask_claim(open, now);
     return true;
 }
@@ -52,7 +53,9 @@
     if (open == nullptr) {
         return;
     }
+    const auto claim = open->record.claim;
     open->record = outcome;
+    open->record.claim = claim;
     open->at = step::finishing;
     open->tries = 0;
     ask_finish(*open, now);
@@ -163,8 +166,7 @@
 bool run_claims::is_own(const open_record& open, const run_record& found) const
 {
     // A record that an operator settled meanwhile has another phase and is not a permission to start.
-    return found.attempt == open.record.attempt && found.upstream == open.record.upstream &&
-           found.incarnation == open.record.incarnation && found.phase == run_phase::started;
+    return is_same_claim(found, open.record) && found.phase == run_phase::started;
 }
 
 void run_claims::ask_claim(open_record& open, time_point now)
--- a/request/run_claims.h
+++ b/request/run_claims.h
@@ -102,6 +102,7 @@
     open_record* find(attempt_id attempt, step at);
 
     run_claims_settings settings_;
+    std::uint64_t last_claim_{0};
     std::map<attempt_id, open_record> open_;
     std::set<std::pair<time_point, attempt_id>> due_;
     std::vector<upstream_action> actions_;
--- a/request/run_record.h
+++ b/request/run_record.h
@@ -33,6 +33,7 @@
     attempt_id attempt;      ///< The attempt that won the claim.
     std::string upstream;    ///< The VM that runs it.
     std::uint64_t incarnation{0};
+    std::uint64_t claim{0}; ///< Counts the claims of one incarnation: an attempt may claim again.
     run_phase phase{run_phase::started};
     result_code code{result_code::ok}; ///< Of the finished attempt.
     ran_state ran{ran_state::yes};     ///< Of the finished attempt.
@@ -40,6 +41,14 @@
     bool operator==(const run_record&) const = default;
 };
 
+/// Whether two records come from the same claim. The attempt alone does not tell: a change of its earlier
+/// claim may take effect after it has claimed anew.
+inline bool is_same_claim(const run_record& left, const run_record& right)
+{
+    return left.attempt == right.attempt && left.upstream == right.upstream &&
+           left.incarnation == right.incarnation && left.claim == right.claim;
+}
+
 enum class store_result : std::uint8_t {
     done,        ///< Applied, or read.
     exists,      ///< The row was there before; nothing was changed.
--- a/tests/fakes/fake_table.cpp
+++ b/tests/fakes/fake_table.cpp
@@ -79,7 +79,7 @@
                          return finish_answered{record.attempt, store_result::unavailable};
                      }
                      const auto found = rows_.find(place(record.workspace, record.key));
-                     const bool own = found != rows_.end() && found->second.attempt == record.attempt;
+                     const bool own = found != rows_.end() && is_same_claim(found->second, record);
                      if (own) {
                          found->second = record;
                          ++writes_;
@@ -100,7 +100,7 @@
                          return release_answered{record.attempt, store_result::absent};
                      }
                      const bool own =
-                         found->second.attempt == record.attempt && found->second.phase == run_phase::started;
+                         is_same_claim(found->second, record) && found->second.phase == run_phase::started;
                      if (own) {
                          rows_.erase(found);
                          ++writes_;
--- /dev/null
+++ b/tests/request/test_draining.cpp
@@ -0,0 +1,38 @@
+#include "request/upstream_core.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace clementinegap;
+
+BOOST_AUTO_TEST_SUITE(a_draining_upstream_core)
+
+BOOST_AUTO_TEST_CASE(grants_nothing_that_is_asked_after_the_drain_began)
+{
+    upstream_settings settings;
+    settings.models = {"assistant"};
+    upstream_core core(settings);
+    const time_point now(seconds(1));
+    core.on_event(entry_connected{1}, now);
+    core.on_event(drain_started{}, now);
+    reserve_message reserve;
+    reserve.attempt = {1, 1};
+    reserve.time_left = seconds(10);
+    reserve.target_left = seconds(1);
+    const auto actions = core.on_event(entry_said{1, reserve}, now);
+    const auto says = [&](auto is_it) {
+        return std::ranges::any_of(actions, [&](const upstream_action& action) {
+            const auto* sent = std::get_if<send_to_entry>(&action);
+            return sent != nullptr && is_it(sent->message);
+        });
+    };
+    BOOST_TEST(!says(
+        [](const upstream_message& message) { return std::holds_alternative<granted_message>(message); }));
+    BOOST_TEST(says([](const upstream_message& message) {
+        const auto* refused = std::get_if<refused_message>(&message);
+        return refused != nullptr && refused->code == result_code::leaving;
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/request/test_entry_core.cpp
+++ b/tests/request/test_entry_core.cpp
@@ -173,4 +173,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(gives_up_waiting_work_of_a_lower_tier_when_its_table_is_full)
+{
+    entry_settings settings;
+    settings.max_requests = 1;
+    entry_core core(settings);
+    const time_point now(seconds(1));
+    const auto value = configuration_builder()
+                           .version(1)
+                           .add(class_builder("guide", "assistant").tier(0))
+                           .add(class_builder("dossier", "assistant").tier(6))
+                           .add_workspace("desk", sha256_hex("key"))
+                           .build();
+    core.on_event(configuration_applied{std::make_shared<const configuration>(value.value())}, now);
+    const auto refused_callers = [&](caller_id caller, const std::string& class_name) {
+        caller_request request;
+        request.caller = caller;
+        request.key_sha256 = sha256_hex("key");
+        request.class_name = class_name;
+        std::vector<caller_id> refused;
+        for (const auto& action : core.on_event(request, now)) {
+            if (const auto* answer = std::get_if<answer_whole>(&action)) {
+                BOOST_TEST(answer->body.find("table_full") != std::string::npos);
+                BOOST_TEST(answer->body.find("\"ran\":\"no\"") != std::string::npos);
+                refused.push_back(answer->caller);
+            }
+        }
+        return refused;
+    };
+    BOOST_TEST(refused_callers(1, "dossier").empty());
+    BOOST_TEST(refused_callers(2, "guide") == std::vector<caller_id>{1}, boost::test_tools::per_element());
+    BOOST_TEST(refused_callers(3, "dossier") == std::vector<caller_id>{3}, boost::test_tools::per_element());
+    BOOST_TEST(refused_callers(4, "guide") == std::vector<caller_id>{4}, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/request/test_repeated_claims.cpp
@@ -0,0 +1,62 @@
+#include "request/run_claims.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinegap;
+
+namespace {
+
+run_record record_of_attempt()
+{
+    run_record record;
+    record.workspace = "desk";
+    record.key = "k1";
+    record.attempt = {1, 7};
+    record.upstream = "upstream-1";
+    record.incarnation = 1;
+    return record;
+}
+
+/// The first action of this kind among those that the claim machine asked for.
+template <class Action> Action asked(run_claims& claims)
+{
+    for (const auto& action : claims.take_actions()) {
+        if (const auto* found = std::get_if<Action>(&action)) {
+            return *found;
+        }
+    }
+    BOOST_FAIL("the action was not asked for");
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_attempt_that_claims_again)
+
+BOOST_AUTO_TEST_CASE(is_not_touched_by_a_late_removal_of_its_first_claim)
+{
+    run_claims claims;
+    const auto now = time_point(seconds(1));
+    const auto attempt = record_of_attempt().attempt;
+    // The first claim finds another's record after a doubt, so its own is removed in case it comes late.
+    claims.claim(record_of_attempt(), now);
+    const auto first = asked<claim_run>(claims);
+    claims.on_answer(claim_answered{attempt, store_result::unknown, {}}, now);
+    auto other = record_of_attempt();
+    other.attempt = {2, 9};
+    claims.on_answer(record_read{attempt, store_result::done, other}, now);
+    const auto removal = asked<release_run>(claims);
+    claims.on_answer(release_answered{attempt, store_result::exists}, now);
+    // The other's record is gone, and the attempt claims anew; the removal may still take effect.
+    BOOST_REQUIRE(claims.claim(record_of_attempt(), now));
+    const auto second = asked<claim_run>(claims);
+    BOOST_TEST(is_same_claim(first.record, removal.record));
+    BOOST_TEST(!is_same_claim(second.record, removal.record));
+
+    // A row of the first claim is no permission to start under the second.
+    const auto verdict = claims.on_answer(claim_answered{attempt, store_result::exists, first.record}, now);
+    BOOST_REQUIRE(verdict.has_value());
+    BOOST_TEST((verdict->what == claim_verdict::kind::found));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
