The fake engine tells the runs of a dead daemon from those of its successor

The trace shows a restarted upstream daemon whose run took the number of a run of its predecessor; the fake engine's pending step of the old run looked the number up and spoke for the new one. A real engine's connection dies with its daemon. Ruled out: resume, moves and hedges (the request was dispatched once). Change: a pending step compares the run itself, not its number. The oracle's checks are unchanged. Conclusion: a fault of the fake, not of the cores.

--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -88,7 +88,7 @@
 void fake_engine::step_later(const run_ptr& run, duration delay)
 {
     scheduler_.after(delay, [this, run, epoch = run->epoch] {
-        if (run->epoch == epoch && runs_.contains(run->id)) {
+        if (run->epoch == epoch && find(run->id) == run) {
             step(run);
         }
     });
@@ -122,7 +122,7 @@
     const auto token = expected_token(run->body, run->produced++);
     ++tokens_produced_;
     tell_(engine_bytes{run->id, run->streamed ? "data: " + token + "\n\n" : token, 1});
-    if (runs_.contains(run->id) && !run->held && !run->paused) {
+    if (find(run->id) == run && !run->held && !run->paused) {
         step_later(run, scaled(options_.token_interval));
     }
 }
