--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -786,6 +786,10 @@
         --request->dispatches;
         const bool was_direct = request->sent_directly && request->dispatches == 0;
         request->running.reset();
+        if (request->hedge) {
+            adopt_hedge(*request); // The other attempt goes on in its place.
+            return;
+        }
         if (was_direct && request->reservations.empty()) {
             timers_.cancel(std::exchange(request->widen_timer, 0));
             place(request);
@@ -1006,6 +1010,7 @@
 void entry_core::fail(const request_ptr& request, const failure_notice& cause)
 {
     auto notice = cause;
+    drop_hedge(*request);
     notice.ran = std::max(request->ran, cause.ran);
     if (is_keyed_run(request->rules, request->input)) {
         notice.ran = ran_for_key(cause.code, notice.ran);
--- a/tests/request/test_entry_core.cpp
+++ b/tests/request/test_entry_core.cpp
@@ -84,6 +84,7 @@
         const auto value = configuration_builder()
                                .version(1)
                                .add(class_builder("guide", "assistant"))
+                               .add(class_builder("status", "assistant").idempotent())
                                .add(class_builder("booking", "assistant").never_repeat(false))
                                .add_workspace("desk", sha256_hex("key"))
                                .build();
@@ -171,6 +172,26 @@
     BOOST_TEST(count<dispatch_message>() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(goes_on_with_the_hedge_when_the_first_refuses_after_all)
+{
+    send("status");
+    const auto first = sent.front();
+    now += milliseconds(300);
+    tell(tick{});
+    BOOST_REQUIRE(count<reserve_message>() == 1U);
+    const auto hedge = std::get<reserve_message>(sent.front().message).attempt;
+    const auto hedge_vm = sent.front().vm;
+    tell(upstream_said{hedge_vm, granted_message{hedge}});
+    BOOST_REQUIRE(count<dispatch_message>() == 1U);
+    const auto attempt = std::get<reserve_message>(first.message).attempt;
+    tell(upstream_said{first.vm, refused_message{attempt, result_code::overloaded, {}}});
+    BOOST_TEST(sent.empty());
+    tell(upstream_said{hedge_vm, head_message{hedge, 200, "application/json"}});
+    tell(upstream_said{hedge_vm, chunk_message{hedge, 0, "{}", 1}});
+    tell(upstream_said{hedge_vm, finished_message{hedge, result_code::ok, ran_state::yes}});
+    BOOST_TEST(core.request_count() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(gives_up_waiting_work_of_a_lower_tier_when_its_table_is_full)
