A remembered refusal has a test

Cause: the mutation forget_a_refusal was seen by no test. Change: a late dispatch of a refused attempt must be refused as never run, and starts nothing.

--- a/tests/request/test_draining.cpp
+++ b/tests/request/test_draining.cpp
@@ -35,4 +35,27 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(remembers_its_refusal_so_that_a_late_dispatch_is_known_not_to_have_run)
+{
+    upstream_settings settings;
+    settings.models = {"assistant"};
+    upstream_core core(settings);
+    const time_point now(seconds(1));
+    core.on_event(entry_connected{1}, now);
+    core.on_event(drain_started{}, now);
+    reserve_message reserve;
+    reserve.attempt = {1, 1};
+    reserve.time_left = seconds(10);
+    core.on_event(entry_said{1, reserve}, now);
+    dispatch_message dispatch;
+    dispatch.attempt = reserve.attempt;
+    const auto actions = core.on_event(entry_said{1, dispatch}, now);
+    BOOST_TEST(std::ranges::any_of(actions, [](const upstream_action& action) {
+        const auto* sent = std::get_if<send_to_entry>(&action);
+        return sent != nullptr && std::holds_alternative<refused_message>(sent->message);
+    }));
+    BOOST_TEST(std::ranges::none_of(
+        actions, [](const upstream_action& action) { return std::holds_alternative<engine_start>(action); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
