--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -794,7 +794,8 @@
         actions_.emplace_back(answer_bytes{request.input.caller, std::exchange(request.held, {})});
     }
     request.undrained += bytes.size();
-    request.at_event_end = bytes.ends_with("\n\n");
+    // After the end mark nothing is left to go on with.
+    request.at_event_end = bytes.ends_with("\n\n") && bytes.find("[DONE]") == std::string::npos;
     actions_.emplace_back(answer_bytes{request.input.caller, std::move(bytes)});
 }
 
