--- a/adapters/run_record_codec.cpp
+++ b/adapters/run_record_codec.cpp
@@ -1,6 +1,6 @@
 #include "adapters/run_record_codec.h"
 
-#include "adapters/base64.h"
+#include "core/base64.h"
 #include "core/checked_json.h"
 
 namespace clementinegap {
--- a/adapters/base64.cpp
+++ b/core/base64.cpp
@@ -1,4 +1,4 @@
-#include "adapters/base64.h"
+#include "core/base64.h"
 
 #include <openssl/evp.h>
 
--- /dev/null
+++ b/net/event_loop.cpp
@@ -0,0 +1,87 @@
+#include "net/event_loop.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+
+namespace clementinegap {
+
+event_loop::event_loop() : read_memory_(std::make_unique<std::array<char, read_buffer_bytes>>())
+{
+    uv_loop_init(&loop_);
+    uv_timer_init(&loop_, &timer_);
+    timer_.data = this;
+    // A write to a connection that its peer closed is reported as an error of that write.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+event_loop::~event_loop()
+{
+    uv_walk(
+        &loop_,
+        [](uv_handle_t* handle, void*) {
+            if (uv_is_closing(handle) == 0) {
+                uv_close(handle, nullptr);
+            }
+        },
+        nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+}
+
+time_point event_loop::now()
+{
+    timespec value{};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(value.tv_sec) +
+                                                           std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+void event_loop::on_signal(int signal_number, std::function<void()> action)
+{
+    auto watch = std::make_unique<signal_watch>();
+    watch->action = std::move(action);
+    uv_signal_init(&loop_, &watch->handle);
+    watch->handle.data = watch.get();
+    uv_signal_start(
+        &watch->handle, [](uv_signal_t* handle, int) { static_cast<signal_watch*>(handle->data)->action(); },
+        signal_number);
+    signals_[signal_number] = std::move(watch);
+}
+
+void event_loop::wake_at(time_point at, std::function<void()> action)
+{
+    wake_action_ = std::move(action);
+    if (at == wake_at_) {
+        return;
+    }
+    wake_at_ = at;
+    if (at == never) {
+        uv_timer_stop(&timer_);
+        return;
+    }
+    uv_update_time(&loop_);
+    const auto wait = std::max<duration>(at - now(), duration::zero());
+    const auto wait_ms = static_cast<std::uint64_t>((wait + milliseconds(1) - microseconds(1)) / milliseconds(1));
+    uv_timer_start(
+        &timer_,
+        [](uv_timer_t* handle) {
+            auto& self = *static_cast<event_loop*>(handle->data);
+            self.wake_at_ = never;
+            const auto action = self.wake_action_;
+            action();
+        },
+        wait_ms, 0);
+}
+
+void event_loop::run()
+{
+    uv_run(&loop_, UV_RUN_DEFAULT);
+}
+
+uv_buf_t event_loop::read_buffer()
+{
+    return uv_buf_init(read_memory_->data(), read_buffer_bytes);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/http_client_connection.cpp
@@ -0,0 +1,146 @@
+#include "net/http_client_connection.h"
+
+namespace clementinegap {
+
+http_client_connection::http_client_connection(event_loop& loop, std::function<void()> on_idle_end)
+    : tcp_(loop, *this), on_idle_end_(std::move(on_idle_end)),
+      reader_(http_reader::kind::answers,
+              {[this](http_head& head) {
+                   if (by_ == nullptr) {
+                       return http_reader::body_rule::none;
+                   }
+                   const auto verdict = by_->on_answer_head(head);
+                   discarding_ = verdict == head_verdict::discard;
+                   keep_alive_ = keep_alive_ && head.keep_alive;
+                   return verdict == head_verdict::take_without_body ? http_reader::body_rule::none
+                                                                     : http_reader::body_rule::as_framed;
+               },
+               [this](std::string_view bytes) {
+                   if (!discarding_ && by_ != nullptr) {
+                       by_->on_answer_bytes(bytes);
+                   }
+               },
+               [] {}})
+{
+}
+
+bool http_client_connection::connect(const std::string& ip, std::uint16_t port, const silence_limits& limits)
+{
+    if (!tcp_.connect(ip, port)) {
+        return false;
+    }
+    tcp_.set_silence_limits(limits);
+    return true;
+}
+
+void http_client_connection::start(std::string request, exchange& by)
+{
+    by_ = &by;
+    busy_ = true;
+    discarding_ = false;
+    reader_.restart();
+    if (!connected_) {
+        unsent_ = std::move(request);
+        return;
+    }
+    tcp_.write(std::move(request));
+}
+
+void http_client_connection::on_connected()
+{
+    connected_ = true;
+    if (!unsent_.empty()) {
+        tcp_.write(std::move(unsent_));
+        unsent_.clear();
+    }
+}
+
+void http_client_connection::connect_timed_out()
+{
+    if (!connected_) {
+        fail({false, false});
+    }
+}
+
+void http_client_connection::on_bytes(std::string_view bytes)
+{
+    if (ended_) {
+        return;
+    }
+    if (!busy_) {
+        ended_ = true;
+        on_idle_end_();
+        return;
+    }
+    while (!bytes.empty()) {
+        bytes.remove_prefix(reader_.feed(bytes));
+        if (by_ == nullptr || ended_) {
+            return;
+        }
+        if (reader_.status() == http_reader::state::broken) {
+            fail({true, true});
+            return;
+        }
+        if (reader_.status() == http_reader::state::reading) {
+            return;
+        }
+        if (!discarding_) {
+            // An answer before the whole request was taken, or bytes after it, leave the connection useless.
+            finish(keep_alive_ && bytes.empty() && tcp_.unwritten() == 0);
+            return;
+        }
+        reader_.restart();
+        discarding_ = false;
+        keep_alive_ = false;
+    }
+}
+
+void http_client_connection::on_closed(close_cause cause)
+{
+    if (ended_) {
+        return;
+    }
+    if (!busy_) {
+        ended_ = true;
+        on_idle_end_();
+        return;
+    }
+    if (cause == close_cause::end_of_stream && reader_.begun()) {
+        reader_.feed_end();
+        if (reader_.status() == http_reader::state::complete && !discarding_) {
+            finish(false);
+            return;
+        }
+    }
+    fail({connected_, false});
+}
+
+void http_client_connection::abandon()
+{
+    by_ = nullptr;
+    busy_ = false;
+    ended_ = true;
+}
+
+void http_client_connection::fail(const exchange_failure& why)
+{
+    ended_ = true;
+    busy_ = false;
+    auto* by = by_;
+    by_ = nullptr;
+    if (by != nullptr) {
+        by->on_exchange_failed(why);
+    }
+}
+
+void http_client_connection::finish(bool reusable)
+{
+    busy_ = false;
+    ended_ = !reusable;
+    idle_since_ = event_loop::now();
+    auto* by = by_;
+    by_ = nullptr;
+    by->on_answer_end(reusable);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/http_reader.cpp
@@ -0,0 +1,180 @@
+#include "net/http_reader.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace clementinegap {
+namespace {
+
+/// Above any configured limit, which is checked before bytes come here.
+constexpr std::uint32_t largest_head_bytes = 1U << 20U;
+
+bool is_token(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || marks.find(c) != std::string_view::npos;
+}
+
+bool is_field_byte(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
+
+} // namespace
+
+http_reader::http_reader(kind what, callbacks calls) : calls_(std::move(calls)), kind_(what)
+{
+    http_parser_set_max_header_size(largest_head_bytes);
+    restart();
+}
+
+void http_reader::restart()
+{
+    http_parser_init(&parser_, kind_ == kind::requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    state_ = state::reading;
+    begun_ = false;
+    last_was_value_ = true;
+    informational_ = false;
+    head_ = {};
+}
+
+const http_parser_settings& http_reader::table()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings value;
+        http_parser_settings_init(&value);
+        value.on_url = [](http_parser* parser, const char* at, std::size_t size) {
+            self(parser).head_.target.append(at, size);
+            return 0;
+        };
+        value.on_header_field = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& reader = self(parser);
+            if (reader.last_was_value_) {
+                reader.head_.headers.emplace_back();
+                reader.last_was_value_ = false;
+            }
+            reader.head_.headers.back().name.append(at, size);
+            return 0;
+        };
+        value.on_header_value = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& reader = self(parser);
+            reader.last_was_value_ = true;
+            if (!reader.head_.headers.empty()) {
+                reader.head_.headers.back().value.append(at, size);
+            }
+            return 0;
+        };
+        value.on_headers_complete = [](http_parser* parser) { return self(parser).head_complete(); };
+        value.on_body = [](http_parser* parser, const char* at, std::size_t size) {
+            auto& reader = self(parser);
+            if (!reader.informational_) {
+                reader.calls_.on_body({at, size});
+            }
+            return 0;
+        };
+        value.on_message_complete = [](http_parser* parser) {
+            auto& reader = self(parser);
+            if (reader.informational_) {
+                reader.informational_ = false;
+                reader.head_ = {};
+                reader.last_was_value_ = true;
+                return 0;
+            }
+            reader.state_ = state::complete;
+            // Bytes after this message belong to the next one.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return value;
+    }();
+    return settings;
+}
+
+int http_reader::head_complete()
+{
+    head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    head_.chunked = (parser_.flags & F_CHUNKED) != 0;
+    if ((parser_.flags & F_CONTENTLENGTH) != 0) {
+        head_.content_length = parser_.content_length;
+    }
+    if (kind_ == kind::requests) {
+        head_.method = http_method_str(static_cast<http_method>(parser_.method));
+        // Protocol upgrades are not offered; the request is read as an ordinary one.
+        parser_.upgrade = 0;
+    } else {
+        head_.status = static_cast<int>(parser_.status_code);
+        if (head_.status >= 100 && head_.status < 200) {
+            informational_ = true;
+            return 0;
+        }
+    }
+    return calls_.on_head(head_) == body_rule::none ? 1 : 0;
+}
+
+std::size_t http_reader::execute(std::string_view bytes)
+{
+    const std::size_t taken = http_parser_execute(&parser_, &table(), bytes.data(), bytes.size());
+    const auto problem = HTTP_PARSER_ERRNO(&parser_);
+    if (problem != HPE_OK && problem != HPE_PAUSED) {
+        state_ = state::broken;
+    }
+    return taken;
+}
+
+std::size_t http_reader::feed(std::string_view bytes)
+{
+    if (state_ != state::reading || bytes.empty()) {
+        return 0;
+    }
+    begun_ = true;
+    const auto taken = execute(bytes);
+    if (state_ == state::complete) {
+        calls_.on_complete();
+    }
+    return taken;
+}
+
+void http_reader::feed_end()
+{
+    if (state_ != state::reading || !begun_) {
+        return;
+    }
+    execute({});
+    if (state_ == state::complete) {
+        calls_.on_complete();
+    }
+}
+
+std::string_view http_reader::problem() const
+{
+    return http_errno_description(HTTP_PARSER_ERRNO(&parser_));
+}
+
+std::string_view head_fault(std::string_view head)
+{
+    std::size_t line_number = 0;
+    while (!head.empty()) {
+        const auto end = head.find("\r\n");
+        if (end == std::string_view::npos) {
+            return "the head does not end";
+        }
+        const auto line = head.substr(0, end);
+        head.remove_prefix(end + 2);
+        if (!std::all_of(line.begin(), line.end(), is_field_byte)) {
+            return "control character or bare line end in the head";
+        }
+        if (line.empty() || line_number++ == 0) {
+            continue;
+        }
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || colon == 0 ||
+            !std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), is_token)) {
+            return "a header line is malformed";
+        }
+    }
+    return {};
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/http_server_connection.cpp
@@ -0,0 +1,221 @@
+#include "net/http_server_connection.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::string_view head_end = "\r\n\r\n";
+
+} // namespace
+
+http_server_connection::http_server_connection(event_loop& loop, handler& by, server_limits limits)
+    : tcp_(loop, *this), by_(by), limits_(limits),
+      reader_(http_reader::kind::requests, {[this](http_head& head) {
+                                                head_ = std::move(head);
+                                                return http_reader::body_rule::as_framed;
+                                            },
+                                            [this](std::string_view bytes) {
+                                                too_large_ = too_large_ ||
+                                                             body_.size() + bytes.size() > limits_.body_bytes;
+                                                if (!too_large_) {
+                                                    body_.append(bytes);
+                                                }
+                                            },
+                                            [] {}})
+{
+}
+
+bool http_server_connection::accept(uv_stream_t* listening, const silence_limits& silence)
+{
+    if (!tcp_.accept(listening)) {
+        return false;
+    }
+    tcp_.set_silence_limits(silence);
+    due_ = event_loop::now() + limits_.idle_timeout;
+    return true;
+}
+
+void http_server_connection::on_bytes(std::string_view bytes)
+{
+    if (state_ == state::closing || state_ == state::gone) {
+        return;
+    }
+    if (pending_.empty() && state_ == state::awaiting_head) {
+        due_ = event_loop::now() + limits_.header_timeout;
+    }
+    pending_.append(bytes);
+    if (state_ == state::handling) {
+        if (pending_.size() > read_ahead_bytes) {
+            paused_ = true;
+            tcp_.pause(true);
+        }
+        return;
+    }
+    read_on();
+}
+
+void http_server_connection::read_on()
+{
+    if (state_ == state::awaiting_head && !read_head()) {
+        return;
+    }
+    read_body();
+}
+
+bool http_server_connection::read_head()
+{
+    // A line end before a request is skipped, as the protocol asks for.
+    while (pending_.starts_with("\r\n")) {
+        pending_.erase(0, 2);
+    }
+    const auto end = pending_.find(head_end);
+    const auto size = end == std::string::npos ? pending_.size() : end + head_end.size();
+    if (size > limits_.header_bytes) {
+        refuse(431, "the head is larger than the limit");
+        return false;
+    }
+    if (end == std::string::npos) {
+        return false;
+    }
+    const auto head_text = std::string_view(pending_).substr(0, size);
+    if (const auto fault = head_fault(head_text); !fault.empty()) {
+        refuse(400, fault);
+        return false;
+    }
+    head_ = {};
+    body_.clear();
+    too_large_ = false;
+    reader_.restart();
+    const auto taken = reader_.feed(head_text);
+    if (reader_.status() == http_reader::state::broken) {
+        refuse(400, reader_.problem());
+        return false;
+    }
+    pending_.erase(0, taken);
+    if (head_.content_length.value_or(0) > limits_.body_bytes) {
+        refuse(413, "the body is larger than the limit");
+        return false;
+    }
+    state_ = state::reading_body;
+    const auto* expect = head_.find("Expect");
+    if (expect != nullptr && same_header(*expect, "100-continue") && pending_.empty() &&
+        reader_.status() == http_reader::state::reading) {
+        tcp_.write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+}
+
+void http_server_connection::read_body()
+{
+    if (state_ != state::reading_body) {
+        return;
+    }
+    if (reader_.status() == http_reader::state::reading && !pending_.empty()) {
+        pending_.erase(0, reader_.feed(pending_));
+        due_ = event_loop::now() + limits_.header_timeout;
+    }
+    if (reader_.status() == http_reader::state::broken) {
+        refuse(400, reader_.problem());
+        return;
+    }
+    if (too_large_) {
+        refuse(413, "the body is larger than the limit");
+        return;
+    }
+    if (reader_.status() == http_reader::state::reading) {
+        return;
+    }
+    state_ = state::handling;
+    due_ = never;
+    by_.on_request(*this, std::move(head_), std::move(body_));
+}
+
+void http_server_connection::refuse(int status, std::string_view text)
+{
+    state_ = state::handling;
+    write(by_.answer_fault(status, text));
+    end_answer(true);
+}
+
+void http_server_connection::end_answer(bool close)
+{
+    if (state_ != state::handling) {
+        return;
+    }
+    if (close) {
+        state_ = state::closing;
+        pending_.clear();
+        due_ = event_loop::now() + linger;
+        tcp_.end_writing();
+        return;
+    }
+    state_ = state::awaiting_head;
+    due_ = event_loop::now() + (pending_.empty() ? limits_.idle_timeout : limits_.header_timeout);
+    if (paused_) {
+        paused_ = false;
+        tcp_.pause(false);
+    }
+    if (!pending_.empty()) {
+        read_on();
+    }
+}
+
+void http_server_connection::cut()
+{
+    if (state_ == state::gone) {
+        return;
+    }
+    tcp_.reset_on_close();
+    set_gone();
+}
+
+void http_server_connection::close_idle()
+{
+    if (idle()) {
+        set_gone();
+    }
+}
+
+void http_server_connection::on_due(time_point now)
+{
+    if (now < due_) {
+        return;
+    }
+    due_ = never;
+    switch (state_) {
+    case state::awaiting_head:
+        if (pending_.empty()) {
+            set_gone();
+            return;
+        }
+        refuse(408, "the request did not come in time");
+        return;
+    case state::reading_body:
+        refuse(408, "the request did not come in time");
+        return;
+    case state::closing:
+        set_gone();
+        return;
+    case state::handling:
+    case state::gone:
+        return;
+    }
+}
+
+void http_server_connection::on_closed(close_cause)
+{
+    set_gone();
+}
+
+void http_server_connection::set_gone()
+{
+    if (state_ == state::gone) {
+        return;
+    }
+    state_ = state::gone;
+    due_ = never;
+    by_.on_gone(*this);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/tcp_connection.cpp
@@ -0,0 +1,245 @@
+#include "net/tcp_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace clementinegap {
+namespace {
+
+constexpr int listen_backlog = 1024;
+
+void set_option(const uv_tcp_t& handle, int level, int name, int value)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &descriptor) == 0) {
+        // A platform without the option keeps its default; the daemon's own time-outs remain.
+        (void)setsockopt(descriptor, level, name, &value, sizeof value);
+    }
+}
+
+} // namespace
+
+/// Outlives the connection until libuv has closed the handle.
+struct tcp_connection::handle_block {
+    uv_tcp_t handle{};
+    uv_connect_t connect{};
+    tcp_connection* owner{nullptr};
+};
+
+struct tcp_connection::write_block {
+    uv_write_t request{};
+    std::string bytes;
+};
+
+tcp_connection::tcp_connection(event_loop& loop, tcp_listener_events& events)
+    : loop_(loop), events_(events), block_(new handle_block)
+{
+    uv_tcp_init(loop.native(), &block_->handle);
+    block_->handle.data = block_;
+    block_->owner = this;
+}
+
+tcp_connection::~tcp_connection()
+{
+    block_->owner = nullptr;
+    const auto free_block = [](uv_handle_t* handle) { delete static_cast<handle_block*>(handle->data); };
+    if (reset_on_close_ &&
+        uv_tcp_close_reset(&block_->handle, [](uv_handle_t* handle) {
+            delete static_cast<handle_block*>(handle->data);
+        }) == 0) {
+        return;
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(&block_->handle), free_block);
+}
+
+bool tcp_connection::connect(const std::string& ip, std::uint16_t port)
+{
+    sockaddr_in address{};
+    if (uv_ip4_addr(ip.c_str(), port, &address) != 0) {
+        return false;
+    }
+    block_->connect.data = block_;
+    const int result = uv_tcp_connect(&block_->connect, &block_->handle, reinterpret_cast<sockaddr*>(&address),
+                                      [](uv_connect_t* request, int status) {
+                                          auto* owner = static_cast<handle_block*>(request->data)->owner;
+                                          if (owner == nullptr) {
+                                              return;
+                                          }
+                                          if (status != 0) {
+                                              owner->report_closed(close_cause::reset);
+                                              return;
+                                          }
+                                          owner->start_reading();
+                                          owner->events_.on_connected();
+                                      });
+    uv_tcp_nodelay(&block_->handle, 1);
+    return result == 0;
+}
+
+bool tcp_connection::accept(uv_stream_t* listening)
+{
+    if (uv_accept(listening, reinterpret_cast<uv_stream_t*>(&block_->handle)) != 0) {
+        return false;
+    }
+    uv_tcp_nodelay(&block_->handle, 1);
+    start_reading();
+    return true;
+}
+
+void tcp_connection::set_silence_limits(const silence_limits& limits)
+{
+    set_option(block_->handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(block_->handle, IPPROTO_TCP, TCP_KEEPIDLE, limits.probe_after_s);
+    set_option(block_->handle, IPPROTO_TCP, TCP_KEEPINTVL, limits.probe_interval_s);
+    set_option(block_->handle, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
+    set_option(block_->handle, IPPROTO_TCP, TCP_USER_TIMEOUT, limits.unacknowledged_ms);
+}
+
+void tcp_connection::start_reading()
+{
+    reading_ = true;
+    uv_read_start(
+        reinterpret_cast<uv_stream_t*>(&block_->handle),
+        [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+            auto* owner = static_cast<handle_block*>(handle->data)->owner;
+            *buffer = owner == nullptr ? uv_buf_init(nullptr, 0) : owner->loop_.read_buffer();
+        },
+        &tcp_connection::on_read);
+}
+
+void tcp_connection::on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer)
+{
+    auto* owner = static_cast<handle_block*>(stream->data)->owner;
+    if (owner == nullptr || count == 0) {
+        return;
+    }
+    if (count < 0) {
+        owner->report_closed(count == UV_EOF ? close_cause::end_of_stream : close_cause::reset);
+        return;
+    }
+    owner->events_.on_bytes({buffer->base, static_cast<std::size_t>(count)});
+}
+
+void tcp_connection::report_closed(close_cause cause)
+{
+    if (closed_reported_) {
+        return;
+    }
+    closed_reported_ = true;
+    if (reading_) {
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(&block_->handle));
+        reading_ = false;
+    }
+    events_.on_closed(cause);
+}
+
+void tcp_connection::write(std::string bytes)
+{
+    if (bytes.empty() || closed_reported_) {
+        return;
+    }
+    auto* stream = reinterpret_cast<uv_stream_t*>(&block_->handle);
+    std::size_t written = 0;
+    if (unwritten() == 0) {
+        uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+        const int result = uv_try_write(stream, &buffer, 1);
+        written = result > 0 ? static_cast<std::size_t>(result) : 0;
+        if (written == bytes.size()) {
+            return;
+        }
+    }
+    bytes.erase(0, written);
+    auto* block = new write_block;
+    block->bytes = std::move(bytes);
+    block->request.data = block;
+    uv_buf_t buffer = uv_buf_init(block->bytes.data(), static_cast<unsigned>(block->bytes.size()));
+    const int result = uv_write(&block->request, stream, &buffer, 1, [](uv_write_t* request, int status) {
+        auto* owner = static_cast<handle_block*>(request->handle->data)->owner;
+        delete static_cast<write_block*>(request->data);
+        // A failed write shows as a failed read too, which reports the close.
+        if (owner != nullptr && status == 0 && owner->unwritten() == 0) {
+            owner->events_.on_written();
+        }
+    });
+    if (result != 0) {
+        delete block;
+    }
+}
+
+void tcp_connection::end_writing()
+{
+    if (closed_reported_) {
+        return;
+    }
+    auto* request = new uv_shutdown_t;
+    const int result = uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&block_->handle),
+                                   [](uv_shutdown_t* done, int) { delete done; });
+    if (result != 0) {
+        delete request;
+    }
+}
+
+std::size_t tcp_connection::unwritten() const
+{
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&block_->handle));
+}
+
+void tcp_connection::pause(bool paused)
+{
+    if (closed_reported_ || paused != reading_) {
+        return;
+    }
+    if (paused) {
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(&block_->handle));
+        reading_ = false;
+        return;
+    }
+    start_reading();
+}
+
+struct tcp_listener::handle_block {
+    uv_tcp_t handle{};
+    std::function<void(uv_stream_t*)> on_connection;
+};
+
+tcp_listener::tcp_listener(event_loop& loop, std::function<void(uv_stream_t*)> on_connection)
+    : block_(new handle_block)
+{
+    uv_tcp_init(loop.native(), &block_->handle);
+    block_->handle.data = block_;
+    block_->on_connection = std::move(on_connection);
+}
+
+tcp_listener::~tcp_listener()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(&block_->handle),
+             [](uv_handle_t* handle) { delete static_cast<handle_block*>(handle->data); });
+}
+
+bool tcp_listener::listen(const std::string& ip, std::uint16_t port)
+{
+    sockaddr_in address{};
+    if (uv_ip4_addr(ip.c_str(), port, &address) != 0 ||
+        uv_tcp_bind(&block_->handle, reinterpret_cast<sockaddr*>(&address), 0) != 0) {
+        return false;
+    }
+    return uv_listen(reinterpret_cast<uv_stream_t*>(&block_->handle), listen_backlog,
+                     [](uv_stream_t* stream, int status) {
+                         if (status == 0) {
+                             static_cast<handle_block*>(stream->data)->on_connection(stream);
+                         }
+                     }) == 0;
+}
+
+std::uint16_t tcp_listener::port() const
+{
+    sockaddr_in address{};
+    int size = sizeof address;
+    if (uv_tcp_getsockname(&block_->handle, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+        return 0;
+    }
+    return ntohs(address.sin_port);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/udp_socket.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "net/event_loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace clementinegap {
+
+/// Datagrams over IPv4. A datagram may be lost without a word; senders repeat what matters.
+class udp_socket {
+public:
+    udp_socket(event_loop& loop, std::function<void(std::string_view)> on_datagram);
+    udp_socket(const udp_socket&) = delete;
+    udp_socket& operator=(const udp_socket&) = delete;
+    ~udp_socket();
+
+    bool bind(const std::string& ip, std::uint16_t port);
+    /// False when the network does not take it now; it is not kept.
+    bool send(const std::string& ip, std::uint16_t port, std::string_view bytes);
+
+private:
+    struct handle_block;
+    handle_block* block_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/entry_gateway.cpp
@@ -0,0 +1,206 @@
+#include "router/entry_gateway.h"
+
+#include "core/digest.h"
+
+namespace clementinegap {
+
+entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log,
+                             std::function<void(soft_item)> spread)
+    : loop_(loop), router_(router), log_(log), spread_(std::move(spread)), pool_(loop),
+      listener_(loop, [this](uv_stream_t* listening) { on_connection(listening); })
+{
+}
+
+entry_gateway::~entry_gateway()
+{
+    for (auto& [number, each] : exchanges_) {
+        each->stop_send();
+    }
+}
+
+void entry_gateway::on_connection(uv_stream_t* listening)
+{
+    auto connection = std::make_unique<http_server_connection>(loop_, *this, limits());
+    if (!connection->accept(listening, silence_limits{})) {
+        return;
+    }
+    auto* key = connection.get();
+    callers_[key].connection = std::move(connection);
+}
+
+server_limits entry_gateway::limits() const
+{
+    const auto* table = router_.table();
+    const auto configured = table == nullptr ? caller_limits{} : table->limits();
+    return {configured.header_bytes, configured.body_bytes, configured.header_timeout, configured.idle_timeout};
+}
+
+void entry_gateway::on_request(http_server_connection& from, http_head head, std::string body)
+{
+    request_arrived event;
+    if (const auto fault = decode_request(head, event)) {
+        log_.write({"request.malformed", event.id, "", fault->text});
+        from.write(answer_fault(fault->status, fault->text));
+        from.end_answer(true);
+        return;
+    }
+    event.request = ++last_request_;
+    event.body_hash = hash64(body);
+    from.set_limits(limits());
+    callers_[&from].request = event.request;
+    exchanges_[event.request] =
+        std::make_unique<exchange>(*this, from, event.request, event.id, std::move(head), std::move(body));
+    post(std::move(event));
+}
+
+std::string entry_gateway::answer_fault(int status, std::string_view text)
+{
+    log_.write({"request.malformed", "", "", std::to_string(status) + " " + std::string(text)});
+    answer_caller answer;
+    answer.status = status;
+    answer.code = status == 413   ? result_code::body_too_large
+                  : status == 408 ? result_code::sender_too_slow
+                                  : result_code::bad_header;
+    return encode_own_answer(answer, "", true);
+}
+
+void entry_gateway::on_gone(http_server_connection& from)
+{
+    const auto found = callers_.find(&from);
+    if (found == callers_.end()) {
+        return;
+    }
+    const auto request = found->second.request;
+    gone_.push_back(std::move(found->second.connection));
+    callers_.erase(found);
+    if (auto* open = find(request)) {
+        open->caller_gone();
+        post(caller_left{request});
+    }
+}
+
+void entry_gateway::on_written(http_server_connection& from)
+{
+    const auto found = callers_.find(&from);
+    if (found == callers_.end()) {
+        return;
+    }
+    if (auto* open = find(found->second.request)) {
+        open->caller_drained();
+    }
+}
+
+exchange* entry_gateway::find(request_number number)
+{
+    const auto found = exchanges_.find(number);
+    return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+void entry_gateway::post(router_event event)
+{
+    queue_.push_back(std::move(event));
+    if (dispatching_) {
+        return;
+    }
+    dispatching_ = true;
+    while (!queue_.empty()) {
+        const auto next = std::move(queue_.front());
+        queue_.pop_front();
+        dispatch(next);
+    }
+    dispatching_ = false;
+}
+
+void entry_gateway::dispatch(const router_event& event)
+{
+    for (const auto& action : router_.on_event(event, event_loop::now())) {
+        std::visit([this](const auto& each) { apply(each); }, action);
+    }
+    // Nobody waits for a request whose caller has left.
+    if (const auto* left = std::get_if<caller_left>(&event)) {
+        exchange_ended(left->request);
+    }
+}
+
+void entry_gateway::apply(const send_request& action)
+{
+    if (auto* open = find(action.request)) {
+        open->send(action);
+    }
+}
+
+void entry_gateway::apply(const answer_caller& action)
+{
+    if (auto* open = find(action.request)) {
+        open->answer(action);
+    }
+}
+
+void entry_gateway::apply(const pass_failure& action)
+{
+    if (auto* open = find(action.request)) {
+        open->pass_failure();
+    }
+}
+
+void entry_gateway::apply(const cut_caller& action)
+{
+    if (auto* open = find(action.request)) {
+        open->cut();
+    }
+}
+
+void entry_gateway::apply(const stop_send& action)
+{
+    if (auto* open = find(action.request)) {
+        open->stop_send();
+    }
+}
+
+void entry_gateway::exchange_ended(request_number number)
+{
+    const auto found = exchanges_.find(number);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    found->second->stop_send();
+    if (auto* connection = found->second->caller()) {
+        if (const auto caller = callers_.find(connection); caller != callers_.end()) {
+            caller->second.request = 0;
+        }
+    }
+    ended_.push_back(std::move(found->second));
+    exchanges_.erase(found);
+}
+
+void entry_gateway::sweep(time_point now)
+{
+    ended_.clear();
+    gone_.clear();
+    pool_.sweep(now);
+    std::vector<http_server_connection*> due;
+    for (const auto& [connection, each] : callers_) {
+        if (connection->due() <= now) {
+            due.push_back(connection);
+        }
+    }
+    for (auto* each : due) {
+        each->on_due(now);
+    }
+}
+
+bool entry_gateway::close_idle()
+{
+    std::vector<http_server_connection*> idle;
+    for (const auto& [connection, each] : callers_) {
+        if (connection->idle()) {
+            idle.push_back(connection);
+        }
+    }
+    for (auto* each : idle) {
+        each->close_idle();
+    }
+    return exchanges_.empty();
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/entry_process.cpp
@@ -0,0 +1,248 @@
+#include "router/entry_process.h"
+
+#include "platform/directory_rows.h"
+#include "platform/header_names.h"
+
+#include <charconv>
+#include <csignal>
+#include <ctime>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::string_view configuration_table = "op";
+constexpr std::string_view configuration_key = "config";
+constexpr std::string_view directory_table = "servers";
+constexpr std::string_view fleet_table = "daemons";
+/// Time between the end of the last request and the kill that ends a slow stop.
+constexpr duration stop_margin = milliseconds(500);
+/// The platform takes a daemon out of rotation after two missed probes, one a second.
+constexpr duration rotation_time = milliseconds(2600);
+
+std::uint64_t start_stamp()
+{
+    timespec value{};
+    clock_gettime(CLOCK_REALTIME, &value);
+    return static_cast<std::uint64_t>(value.tv_sec) * 1000 + static_cast<std::uint64_t>(value.tv_nsec) / 1000000;
+}
+
+std::string address_text(const endpoint& address)
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+std::optional<endpoint> parse_address(std::string_view text)
+{
+    endpoint result;
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    result.ip = text.substr(0, colon);
+    const auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), result.port);
+    if (parsed.ec != std::errc{} || result.port == 0) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+router_settings router_settings_of(const entry_settings& settings, std::uint64_t incarnation)
+{
+    router_settings result;
+    result.daemon = settings.vm;
+    result.zone = settings.zone;
+    result.incarnation = incarnation;
+    result.retries = {settings.retry_ratio, settings.retry_slack, settings.retry_window};
+    return result;
+}
+
+} // namespace
+
+entry_process::entry_process(entry_settings settings, std::string settings_file)
+    : settings_(std::move(settings)), settings_file_(std::move(settings_file)), incarnation_(start_stamp()),
+      log_(settings_.vm, settings_.log_level), router_(router_settings_of(settings_, incarnation_)),
+      peers_(
+          loop_, [this](load_reported report) { gateway_.post(std::move(report)); },
+          [this](const std::string& why) { log_.warn("peer.bad_report", why); }),
+      gateway_(loop_, router_, log_, [this](soft_item item) { peers_.spread(std::move(item)); }),
+      probes_(loop_, [this](std::string_view path) { return probe(path); }),
+      configuration_(loop_, settings_.store_address, std::string(configuration_table), incarnation_,
+                     [this](table_follower::progress progress) { on_configuration(std::move(progress)); }),
+      directory_(loop_, settings_.store_address, std::string(directory_table), incarnation_ + 1,
+                 [this](table_follower::progress progress) { on_directory(std::move(progress)); }),
+      fleet_(loop_, settings_.store_address, std::string(fleet_table), incarnation_ + 2,
+             [this](table_follower::progress progress) { on_fleet(std::move(progress)); }),
+      registration_(loop_, settings_.store_address, std::string(fleet_table), settings_.vm,
+                    address_text(settings_.peer_address))
+{
+}
+
+int entry_process::run()
+{
+    constexpr int exit_cannot_listen = 3;
+    loop_.on_signal(SIGTERM, [this] { begin_stop(); });
+    loop_.on_signal(SIGINT, [this] { begin_stop(); });
+    loop_.on_signal(SIGHUP, [this] { reload(); });
+    if (!gateway_.listen(settings_.caller_address) || !probes_.listen(settings_.readiness_address) ||
+        !peers_.bind(settings_.peer_address)) {
+        log_.warn("daemon.cannot_listen", address_text(settings_.caller_address));
+        log_.flush(event_loop::now());
+        return exit_cannot_listen;
+    }
+    log_.info("daemon.started", "callers " + address_text(settings_.caller_address) + " store " +
+                                    address_text(settings_.store_address));
+    wake();
+    loop_.run();
+    log_.info("daemon.stopped", "open requests " + std::to_string(gateway_.open_requests()));
+    log_.flush(event_loop::now());
+    return 0;
+}
+
+void entry_process::wake()
+{
+    const auto now = event_loop::now();
+    if (router_.next_due() <= now) {
+        gateway_.post(tick{});
+    }
+    configuration_.run(now);
+    directory_.run(now);
+    fleet_.run(now);
+    registration_.run(now);
+    if (now >= next_report_) {
+        peers_.send(router_.report(now));
+        next_report_ = now + peers_.interval();
+    }
+    if (now >= next_sweep_) {
+        gateway_.sweep(now);
+        probes_.sweep(now);
+        log_.flush(now);
+        next_sweep_ = now + entry_gateway::sweep_interval;
+    }
+    continue_stop(now);
+    schedule();
+}
+
+void entry_process::schedule()
+{
+    const auto due = std::min({router_.next_due(), configuration_.due(), directory_.due(), fleet_.due(),
+                               registration_.due(), next_report_, next_sweep_});
+    loop_.wake_at(due, [this] { wake(); });
+}
+
+void entry_process::on_configuration(table_follower::progress progress)
+{
+    if (progress.lost || progress.regained) {
+        log_.info(progress.lost ? "configuration.store_lost" : "configuration.store_regained", "");
+    }
+    for (const auto& row : progress.changes) {
+        if (row.key == configuration_key && !row.deleted) {
+            take_configuration(row);
+        }
+    }
+}
+
+void entry_process::take_configuration(const table_row& row)
+{
+    auto table = decode_configuration(row.value);
+    if (!table) {
+        log_.warn("configuration.unreadable", table.error().message);
+        return;
+    }
+    gateway_.post(configuration_received{std::move(table.value())});
+}
+
+void entry_process::on_directory(table_follower::progress progress)
+{
+    if (progress.lost) {
+        gateway_.post(directory_unreachable{});
+    }
+    if (progress.regained) {
+        gateway_.post(directory_reachable{});
+    }
+    directory_listed listing;
+    for (const auto& row : progress.changes) {
+        if (row.deleted) {
+            gateway_.post(upstream_removed{row.key});
+            continue;
+        }
+        auto record = decode_upstream(row.key, row.value);
+        if (!record) {
+            log_.warn("directory.unreadable", row.key + ": " + record.error().message);
+            continue;
+        }
+        if (progress.whole) {
+            listing.records.push_back(std::move(record.value()));
+        } else {
+            gateway_.post(upstream_listed{std::move(record.value())});
+        }
+    }
+    if (progress.whole) {
+        gateway_.post(std::move(listing));
+    }
+}
+
+void entry_process::on_fleet(table_follower::progress progress)
+{
+    if (progress.whole) {
+        fleet_rows_.clear();
+    }
+    for (const auto& row : progress.changes) {
+        const auto address = parse_address(row.value);
+        if (row.deleted || !address) {
+            fleet_rows_.erase(row.key);
+        } else {
+            fleet_rows_[row.key] = *address;
+        }
+    }
+    if (progress.changes.empty()) {
+        return;
+    }
+    auto others = fleet_rows_;
+    others.erase(settings_.vm);
+    gateway_.post(fleet_size_known{others.size() + 1});
+    peers_.set_peers(std::move(others));
+}
+
+probe_server::answer entry_process::probe(std::string_view path) const
+{
+    if (path == platform_names::readiness_path) {
+        return {router_.is_ready() ? 200 : 503, "text/plain", router_.is_ready() ? "ready\n" : "not ready\n"};
+    }
+    return {404, "text/plain", "not found\n"};
+}
+
+void entry_process::begin_stop()
+{
+    if (stop_begun_ != never) {
+        return;
+    }
+    stop_begun_ = event_loop::now();
+    log_.info("daemon.stopping", "open requests " + std::to_string(gateway_.open_requests()));
+    gateway_.stop_accepting_work();
+    gateway_.post(drain_begun{stop_begun_ + settings_.stop_grace - stop_margin});
+}
+
+void entry_process::continue_stop(time_point now)
+{
+    if (stop_begun_ == never || now < stop_begun_ + rotation_time) {
+        return;
+    }
+    const bool quiet = gateway_.close_idle();
+    if (quiet || now >= stop_begun_ + settings_.stop_grace - stop_margin / 2) {
+        loop_.stop();
+    }
+}
+
+void entry_process::reload()
+{
+    const auto fresh = entry_settings_from_file(settings_file_);
+    if (!fresh) {
+        log_.warn("daemon.reload_refused", fresh.error().message);
+        return;
+    }
+    // Addresses and names are those of this process for its life; only the stop may change.
+    settings_.stop_grace = fresh.value().stop_grace;
+    log_.info("daemon.reloaded", settings_file_);
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/entry_process.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "router/decision_log.h"
+#include "router/entry_gateway.h"
+#include "router/entry_settings.h"
+#include "router/peer_link.h"
+#include "router/probe_server.h"
+#include "router/store_link.h"
+#include "routing/request_router.h"
+
+#include <map>
+#include <string>
+
+namespace clementinegap {
+
+/// An entry daemon that routes straight to upstreams: wires the router to callers, upstreams, the platform's
+/// store and the other daemons, and lives from start to a graceful stop.
+class entry_process {
+public:
+    entry_process(entry_settings settings, std::string settings_file);
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    /// Serves until a graceful stop; returns the exit code.
+    int run();
+
+private:
+    void on_configuration(table_follower::progress progress);
+    void on_directory(table_follower::progress progress);
+    void on_fleet(table_follower::progress progress);
+    void take_configuration(const table_row& row);
+    probe_server::answer probe(std::string_view path) const;
+    void begin_stop();
+    void continue_stop(time_point now);
+    void reload();
+    void wake();
+    void schedule();
+
+    entry_settings settings_;
+    std::string settings_file_;
+    std::uint64_t incarnation_;
+    event_loop loop_;
+    decision_log log_;
+    request_router router_;
+    peer_link peers_;
+    entry_gateway gateway_;
+    probe_server probes_;
+    table_reader configuration_;
+    table_reader directory_;
+    table_reader fleet_;
+    row_writer registration_;
+    std::map<std::string, endpoint> fleet_rows_;
+    time_point next_sweep_{};
+    time_point next_report_{};
+    time_point stop_begun_{never};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/entry_settings.cpp
@@ -0,0 +1,77 @@
+#include "router/entry_settings.h"
+
+#include "core/checked_json.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace clementinegap {
+namespace {
+
+endpoint read_endpoint(object_reader& reader, std::string_view name)
+{
+    const auto text = reader.string(name);
+    endpoint result;
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        reader.fault(name, text, "IP:PORT");
+        return result;
+    }
+    result.ip = text.substr(0, colon);
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, result.port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        reader.fault(name, text, "IP:PORT");
+    }
+    return result;
+}
+
+duration seconds_of(double value)
+{
+    return duration(static_cast<duration::rep>(value * 1e6));
+}
+
+} // namespace
+
+outcome<entry_settings> entry_settings_from_text(std::string_view text)
+{
+    fault_list faults;
+    const auto document = parse_json_with_comments(text, faults);
+    if (!document) {
+        return failure(result_code::invalid_settings, faults.text());
+    }
+    entry_settings result;
+    object_reader reader(*document, "", faults);
+    result.vm = reader.string("vm");
+    result.zone = reader.string("zone");
+    result.log_level = reader.string("log_level", "info");
+    result.caller_address = read_endpoint(reader, "caller_address");
+    result.readiness_address = read_endpoint(reader, "readiness_address");
+    result.peer_address = read_endpoint(reader, "peer_address");
+    result.metrics_path = reader.string("metrics_path", "/metrics");
+    result.store_address = read_endpoint(reader, "store_address");
+    constexpr double most_seconds = 3600;
+    result.retry_ratio = reader.number("retry_ratio", 0, 1, 0.2);
+    result.retry_window = seconds_of(reader.number("retry_window_s", 1, most_seconds, 10));
+    result.retry_slack = reader.number("retry_slack", 0, 1e6, 0);
+    result.stop_grace = seconds_of(reader.number("stop_grace_s", 1, most_seconds, 8));
+    reader.finish();
+    if (!faults.empty()) {
+        return failure(result_code::invalid_settings, faults.text());
+    }
+    return result;
+}
+
+outcome<entry_settings> entry_settings_from_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return failure(result_code::invalid_settings, path + " cannot be read\n");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return entry_settings_from_text(text.str());
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/entry_settings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "core/time.h"
+#include "routing/upstream_record.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinegap {
+
+/// The settings of an entry daemon that routes straight to upstreams, read from its file: JSON with comments.
+struct entry_settings {
+    std::string vm;
+    std::string zone;
+    std::string log_level{"info"};
+    endpoint caller_address;
+    endpoint readiness_address;
+    endpoint peer_address;
+    std::string metrics_path{"/metrics"};
+    endpoint store_address;
+    double retry_ratio{0.2};
+    duration retry_window{seconds(10)};
+    double retry_slack{0};
+    duration stop_grace{seconds(8)}; ///< From SIGTERM until the process is killed.
+};
+
+/// Reads and checks a whole settings text; `invalid_settings` with every fault, one a line.
+outcome<entry_settings> entry_settings_from_text(std::string_view text);
+
+/// Reads a file; a file that cannot be read is a fault like the others.
+outcome<entry_settings> entry_settings_from_file(const std::string& path);
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/event_splitter.cpp
@@ -0,0 +1,47 @@
+#include "router/event_splitter.h"
+
+namespace clementinegap {
+
+std::string event_splitter::feed(std::string_view bytes)
+{
+    rest_.append(bytes);
+    const auto lf_end = rest_.rfind("\n\n");
+    const auto crlf_end = rest_.rfind("\r\n\r\n");
+    std::size_t end = 0;
+    if (lf_end != std::string::npos) {
+        end = lf_end + 2;
+    }
+    if (crlf_end != std::string::npos && crlf_end + 4 > end) {
+        end = crlf_end + 4;
+    }
+    if (end == 0) {
+        return {};
+    }
+    auto events = rest_.substr(0, end);
+    rest_.erase(0, end);
+    note_ids(events);
+    return events;
+}
+
+void event_splitter::note_ids(std::string_view events)
+{
+    constexpr std::string_view field = "id:";
+    while (!events.empty()) {
+        const auto end = events.find('\n');
+        auto line = events.substr(0, end);
+        events = end == std::string_view::npos ? std::string_view{} : events.substr(end + 1);
+        if (!line.starts_with(field)) {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        last_id_ = line;
+    }
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/exchange.cpp
@@ -0,0 +1,228 @@
+#include "router/exchange.h"
+
+namespace clementinegap {
+
+exchange::exchange(owner& by, http_server_connection& caller, request_number number, std::string id,
+                   http_head head, std::string body)
+    : by_(by), caller_(&caller), number_(number), id_(std::move(id)), head_(std::move(head)),
+      body_(std::move(body)), close_after_(!head_.keep_alive)
+{
+}
+
+void exchange::send(const send_request& order)
+{
+    order_ = order;
+    answer_ = {};
+    fault_.reset();
+    first_event_ = false;
+    held_.clear();
+    events_.drop_rest();
+    connection_ = by_.pool().take(*order.upstream, event_loop::now());
+    if (!connection_) {
+        by_.post(send_failed{number_, send_fault::unreachable, begun_, false});
+        return;
+    }
+    auto request = encode_request({head_, order, true, body_.size(), events_.last_id()});
+    request.append(body_);
+    connection_->start(std::move(request), *this);
+}
+
+void exchange::stop_send()
+{
+    if (connection_) {
+        by_.pool().retire(std::move(connection_));
+        connection_ = nullptr;
+    }
+}
+
+http_client_connection::head_verdict exchange::on_answer_head(const http_head& head)
+{
+    using verdict = http_client_connection::head_verdict;
+    auto answer = decode_answer(head);
+    if (!answer.request_id.empty() && answer.request_id != id_) {
+        return verdict::discard;
+    }
+    answer_ = std::move(answer);
+    if (answer_.wrong_instance) {
+        fault_ = send_fault::wrong_instance;
+    } else if (answer_.not_executed) {
+        fault_ = send_fault::not_run;
+    } else if (!answer_.sealed || answer_.request_id.empty()) {
+        fault_ = send_fault::bad_answer;
+    } else if (!begun_) {
+        answer_head_ = head;
+    } else if (!is_success()) {
+        // The rest of a stream was asked for and refused.
+        fault_ = send_fault::bad_answer;
+    }
+    return head_.method == "HEAD" ? verdict::take_without_body : verdict::take;
+}
+
+void exchange::on_answer_bytes(std::string_view bytes)
+{
+    if (fault_) {
+        return;
+    }
+    if (order_.is_stream && is_success()) {
+        pass_events(events_.feed(bytes));
+        return;
+    }
+    if (!begun_ && held_.size() + bytes.size() <= most_held_bytes) {
+        held_.append(bytes);
+        return;
+    }
+    begin_chunked();
+    if (caller_ != nullptr) {
+        caller_->write(as_chunk(bytes));
+    }
+}
+
+void exchange::begin_chunked()
+{
+    if (begun_) {
+        return;
+    }
+    begun_ = true;
+    close_after_ = close_after_ || by_.stopping();
+    if (caller_ != nullptr) {
+        auto text = encode_answer(answer_head_, std::nullopt, close_after_);
+        if (!held_.empty()) {
+            text.append(as_chunk(held_));
+            held_.clear();
+        }
+        caller_->write(std::move(text));
+    }
+}
+
+void exchange::pass_events(std::string events)
+{
+    if (events.empty()) {
+        return;
+    }
+    if (!begun_) {
+        held_ = std::move(events);
+        begin_chunked();
+    } else if (caller_ != nullptr) {
+        caller_->write(as_chunk(events));
+    }
+    if (!first_event_) {
+        first_event_ = true;
+        if (!order_.resumable) {
+            body_.clear();
+            body_.shrink_to_fit();
+        }
+        by_.post(first_event_seen{number_});
+    }
+    if (caller_ != nullptr && connection_ && caller_->unwritten() > most_unwritten_bytes) {
+        connection_->pause(true);
+    }
+}
+
+void exchange::caller_drained()
+{
+    if (connection_) {
+        connection_->pause(false);
+    }
+}
+
+void exchange::on_answer_end(bool reusable)
+{
+    if (reusable) {
+        by_.pool().give_back(*order_.upstream, std::move(connection_),
+                             answer_.idle_timeout.value_or(duration::zero()));
+        connection_ = nullptr;
+    } else {
+        stop_send();
+    }
+    if (fault_) {
+        report_fault(*fault_, true);
+        return;
+    }
+    if (!is_success() && order_.repeatable && answer_.status >= 500) {
+        report_fault(send_fault::failed_answer, true);
+        return;
+    }
+    if (order_.is_stream && is_success() && events_.has_rest()) {
+        // The stream ended in the middle of an event.
+        report_fault(send_fault::lost, true);
+        return;
+    }
+    by_.post(request_completed{number_, !is_success()});
+    pass_held();
+}
+
+void exchange::pass_held()
+{
+    if (begun_) {
+        if (caller_ != nullptr) {
+            caller_->write(std::string(last_chunk));
+        }
+        end_caller(close_after_);
+        return;
+    }
+    close_after_ = close_after_ || by_.stopping();
+    if (caller_ != nullptr) {
+        const bool bodiless = head_.method == "HEAD";
+        const auto length = bodiless && answer_head_.content_length ? *answer_head_.content_length : held_.size();
+        auto text = encode_answer(answer_head_, length, close_after_);
+        text.append(held_);
+        caller_->write(std::move(text));
+    }
+    end_caller(close_after_);
+}
+
+void exchange::on_exchange_failed(const exchange_failure& why)
+{
+    stop_send();
+    if (fault_ && *fault_ != send_fault::bad_answer) {
+        report_fault(*fault_, true);
+        return;
+    }
+    if (!why.connected) {
+        report_fault(send_fault::unreachable, false);
+        return;
+    }
+    report_fault(why.not_http ? send_fault::bad_answer : send_fault::lost, false);
+}
+
+void exchange::report_fault(send_fault fault, bool alive)
+{
+    by_.post(send_failed{number_, fault, begun_, alive});
+}
+
+void exchange::answer(const answer_caller& order)
+{
+    close_after_ = close_after_ || by_.stopping();
+    if (caller_ != nullptr) {
+        caller_->write(encode_own_answer(order, id_, close_after_));
+    }
+    end_caller(close_after_);
+}
+
+void exchange::pass_failure()
+{
+    pass_held();
+}
+
+void exchange::cut()
+{
+    stop_send();
+    if (caller_ != nullptr) {
+        auto* caller = caller_;
+        caller_ = nullptr;
+        caller->cut();
+    }
+    by_.exchange_ended(number_);
+}
+
+void exchange::end_caller(bool close)
+{
+    auto* caller = caller_;
+    caller_ = nullptr;
+    by_.exchange_ended(number_);
+    if (caller != nullptr) {
+        caller->end_answer(close);
+    }
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/probe_server.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/http_server_connection.h"
+#include "net/tcp_connection.h"
+#include "routing/upstream_record.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace clementinegap {
+
+/// Answers small GET requests of the platform: readiness and metrics.
+class probe_server final : public http_server_connection::handler {
+public:
+    struct answer {
+        int status{404};
+        std::string content_type{"text/plain"};
+        std::string body;
+    };
+    using responder = std::function<answer(std::string_view path)>;
+
+    probe_server(event_loop& loop, responder respond);
+    bool listen(const endpoint& address) { return listener_.listen(address.ip, address.port); }
+    std::uint16_t port() const { return listener_.port(); }
+    void sweep(time_point now);
+
+private:
+    void on_request(http_server_connection& from, http_head head, std::string body) override;
+    std::string answer_fault(int status, std::string_view text) override;
+    void on_gone(http_server_connection&) override {}
+    void on_written(http_server_connection&) override {}
+
+    event_loop& loop_;
+    responder respond_;
+    tcp_listener listener_;
+    std::list<std::unique_ptr<http_server_connection>> connections_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/report_codec.cpp
@@ -0,0 +1,73 @@
+#include "router/report_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace clementinegap {
+namespace {
+
+using nlohmann::json;
+
+/// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
+constexpr int layout = 1;
+
+} // namespace
+
+std::string encode_report(const load_report& report, std::span<const soft_item> items)
+{
+    json loads = json::array();
+    for (const auto& [id, load] : report.loads) {
+        loads.push_back({id, load.in_flight, load.decoding, load.prefill_tokens});
+    }
+    json demands = json::array();
+    for (const auto& each : report.demands) {
+        demands.push_back({each.step_tolerance.count(), static_cast<float>(each.work)});
+    }
+    json spread = json::array();
+    for (const auto& each : items) {
+        spread.push_back({each.kind, each.key, each.value, each.lifetime.count()});
+    }
+    const json document = {layout,  report.daemon, report.incarnation, report.sequence, report.configuration_version,
+                           loads, demands,       spread};
+    std::string bytes;
+    json::to_msgpack(document, bytes);
+    return bytes;
+}
+
+outcome<load_reported> decode_report(std::string_view bytes)
+{
+    try {
+        const auto document = json::from_msgpack(bytes);
+        if (document.at(0).get<int>() != layout) {
+            return failure(result_code::internal, "another layout of reports");
+        }
+        load_reported result;
+        auto& report = result.report;
+        report.daemon = document.at(1).get<std::string>();
+        report.incarnation = document.at(2).get<std::uint64_t>();
+        report.sequence = document.at(3).get<std::uint64_t>();
+        report.configuration_version = document.at(4).get<std::uint64_t>();
+        for (const auto& each : document.at(5)) {
+            report.loads.emplace_back(each.at(0).get<std::string>(),
+                                      upstream_load{each.at(1).get<std::uint32_t>(), each.at(2).get<std::uint32_t>(),
+                                                    each.at(3).get<std::uint32_t>()});
+        }
+        for (const auto& each : document.at(6)) {
+            report.demands.push_back({duration(each.at(0).get<duration::rep>()), each.at(1).get<double>()});
+        }
+        for (const auto& each : document.at(7)) {
+            soft_item item;
+            item.origin = report.daemon;
+            item.incarnation = report.incarnation;
+            item.kind = each.at(0).get<std::string>();
+            item.key = each.at(1).get<std::string>();
+            item.value = each.at(2).get<std::string>();
+            item.lifetime = duration(each.at(3).get<duration::rep>());
+            result.items.push_back(std::move(item));
+        }
+        return result;
+    } catch (const json::exception& problem) {
+        return failure(result_code::internal, problem.what());
+    }
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/store_link.cpp
@@ -0,0 +1,170 @@
+#include "router/store_link.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+std::string host_of(const endpoint& store)
+{
+    return store.ip + ":" + std::to_string(store.port);
+}
+
+/// A silent connection to the store must show well before a configuration is due.
+constexpr silence_limits store_silence{1, 1, 1, 1500};
+
+} // namespace
+
+table_reader::table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed,
+                           callback on_progress)
+    : loop_(loop), store_(std::move(store)), follower_(std::move(table), seed), on_progress_(std::move(on_progress))
+{
+}
+
+table_reader::~table_reader()
+{
+    if (connection_) {
+        connection_->abandon();
+    }
+}
+
+time_point table_reader::due() const
+{
+    return under_way_ ? give_up_at_ : follower_.next_at();
+}
+
+void table_reader::run(time_point now)
+{
+    retired_.reset();
+    if (under_way_) {
+        if (now < give_up_at_) {
+            return;
+        }
+        drop_connection();
+        under_way_ = false;
+        report(follower_.on_no_page(read_result::failed, now));
+    }
+    if (now < follower_.next_at()) {
+        return;
+    }
+    if (!connection_ || !connection_->idle()) {
+        drop_connection();
+        connection_ = std::make_shared<http_client_connection>(loop_, [] {});
+        if (!connection_->connect(store_.ip, store_.port, store_silence)) {
+            connection_.reset();
+            report(follower_.on_no_page(read_result::failed, now));
+            return;
+        }
+    }
+    const auto call = follower_.next_call();
+    under_way_ = true;
+    give_up_at_ = now + call.wait + answer_timeout;
+    body_.clear();
+    connection_->start(encode_table_read(call, host_of(store_)), *this);
+}
+
+http_client_connection::head_verdict table_reader::on_answer_head(const http_head& head)
+{
+    status_ = head.status;
+    return http_client_connection::head_verdict::take;
+}
+
+void table_reader::on_answer_end(bool reusable)
+{
+    under_way_ = false;
+    const auto now = event_loop::now();
+    if (!reusable) {
+        drop_connection();
+    }
+    if (status_ == status_gone) {
+        report(follower_.on_no_page(read_result::history_gone, now));
+        return;
+    }
+    if (status_ != status_ok) {
+        report(follower_.on_no_page(read_result::failed, now));
+        return;
+    }
+    auto page = decode_table_page(body_);
+    body_.clear();
+    body_.shrink_to_fit();
+    if (!page) {
+        report(follower_.on_no_page(read_result::failed, now));
+        return;
+    }
+    report(follower_.on_page(std::move(page.value()), now));
+}
+
+void table_reader::on_exchange_failed(const exchange_failure&)
+{
+    under_way_ = false;
+    drop_connection();
+    report(follower_.on_no_page(read_result::failed, event_loop::now()));
+}
+
+void table_reader::drop_connection()
+{
+    if (connection_) {
+        connection_->abandon();
+        retired_ = std::move(connection_);
+        connection_.reset();
+    }
+}
+
+void table_reader::report(table_follower::progress progress)
+{
+    on_progress_(std::move(progress));
+}
+
+row_writer::row_writer(event_loop& loop, endpoint store, std::string table, std::string key, std::string value)
+    : loop_(loop), store_(std::move(store)), request_(encode_row_write(table, key, value, host_of(store_)))
+{
+}
+
+row_writer::~row_writer()
+{
+    if (connection_) {
+        connection_->abandon();
+    }
+}
+
+void row_writer::run(time_point now)
+{
+    retired_.reset();
+    if (done_ || now < next_at_) {
+        return;
+    }
+    if (connection_) {
+        connection_->abandon();
+    }
+    connection_ = std::make_shared<http_client_connection>(loop_, [] {});
+    next_at_ = now + call_timeout;
+    if (connection_->connect(store_.ip, store_.port, store_silence)) {
+        connection_->start(request_, *this);
+    }
+}
+
+http_client_connection::head_verdict row_writer::on_answer_head(const http_head& head)
+{
+    status_ = head.status;
+    return http_client_connection::head_verdict::take;
+}
+
+void row_writer::on_answer_end(bool)
+{
+    done_ = status_ == status_ok;
+    next_at_ = event_loop::now() + retry_pause;
+    connection_->abandon();
+    retired_ = std::move(connection_);
+    connection_.reset();
+}
+
+void row_writer::on_exchange_failed(const exchange_failure&)
+{
+    // Writing the same row again is harmless, whether or not the first write took effect.
+    next_at_ = event_loop::now() + retry_pause;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/upstream_pool.cpp
@@ -0,0 +1,91 @@
+#include "router/upstream_pool.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+/// Part of an upstream's idle time-out after which a connection is no longer trusted: a request that meets the
+/// close on its way may or may not have run.
+constexpr int trusted_tenths = 6;
+
+} // namespace
+
+std::string upstream_pool::key_of(const upstream_record& upstream)
+{
+    return upstream.id + "@" + upstream.address.ip + ":" + std::to_string(upstream.address.port);
+}
+
+connection_ptr upstream_pool::take(const upstream_record& upstream, time_point now)
+{
+    const auto key = key_of(upstream);
+    auto& connections = idle_[key];
+    while (!connections.empty()) {
+        auto last = std::move(connections.back());
+        connections.pop_back();
+        if (last.connection->idle() && now - last.connection->idle_since() < last.idle_limit) {
+            return last.connection;
+        }
+        retire(std::move(last.connection));
+    }
+    auto holder = std::make_shared<std::weak_ptr<http_client_connection>>();
+    auto connection = std::make_shared<http_client_connection>(loop_, [this, key, holder] {
+        drop(key, holder->lock().get());
+    });
+    *holder = connection;
+    if (!connection->connect(upstream.address.ip, upstream.address.port, silence_limits{})) {
+        return nullptr;
+    }
+    connecting_.push_back({connection, now});
+    return connection;
+}
+
+void upstream_pool::give_back(const upstream_record& upstream, connection_ptr connection, duration idle_timeout)
+{
+    const auto limit = idle_timeout > duration::zero() ? idle_timeout * trusted_tenths / 10 : default_idle_limit;
+    idle_[key_of(upstream)].push_back({std::move(connection), limit});
+}
+
+void upstream_pool::retire(connection_ptr connection)
+{
+    connection->abandon();
+    retired_.push_back(std::move(connection));
+}
+
+void upstream_pool::drop(const std::string& key, const http_client_connection* connection)
+{
+    auto& connections = idle_[key];
+    const auto found = std::find_if(connections.begin(), connections.end(),
+                                    [&](const kept& each) { return each.connection.get() == connection; });
+    if (found != connections.end()) {
+        retire(std::move(found->connection));
+        connections.erase(found);
+    }
+}
+
+void upstream_pool::sweep(time_point now)
+{
+    retired_.clear();
+    const auto attempts = std::move(connecting_);
+    connecting_.clear();
+    for (const auto& each : attempts) {
+        const auto connection = each.connection.lock();
+        if (!connection || connection->connected()) {
+            continue;
+        }
+        if (now - each.started >= connect_timeout) {
+            connection->connect_timed_out();
+        } else {
+            connecting_.push_back(each);
+        }
+    }
+    for (auto list = idle_.begin(); list != idle_.end();) {
+        auto& connections = list->second;
+        std::erase_if(connections, [&](const kept& each) {
+            return !each.connection->idle() || now - each.connection->idle_since() >= each.idle_limit;
+        });
+        list = connections.empty() ? idle_.erase(list) : std::next(list);
+    }
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/demand_meter.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "routing/load_ledger.h"
+
+#include <map>
+#include <vector>
+
+namespace clementinegap {
+
+/// How much engine work this daemon's callers ask for, by what their streams tolerate: a decaying sum, so that
+/// it follows a burst within a second or two.
+class demand_meter {
+public:
+    static constexpr duration time_constant = milliseconds(2500); ///< Shorter than the swings of the traffic.
+
+    void on_request(duration step_tolerance, duration engine_time, time_point now);
+    std::vector<stream_demand> demands(time_point now);
+
+private:
+    struct decaying_sum {
+        double seconds{0}; ///< Engine seconds within about `time_constant`.
+        time_point at{};
+    };
+    static void decay(decaying_sum& sum, time_point now);
+
+    std::map<duration, decaying_sum> sums_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/load_ledger.cpp
@@ -0,0 +1,111 @@
+#include "routing/load_ledger.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+upstream_load find_load(const std::unordered_map<std::string, upstream_load>& loads, std::string_view id)
+{
+    const auto found = loads.find(std::string(id));
+    return found == loads.end() ? upstream_load{} : found->second;
+}
+
+} // namespace
+
+void load_ledger::add(std::string_view upstream, std::uint32_t prefill_tokens)
+{
+    auto& load = own_[std::string(upstream)];
+    ++load.in_flight;
+    load.prefill_tokens += prefill_tokens;
+}
+
+void load_ledger::prefill_done(std::string_view upstream, std::uint32_t prefill_tokens)
+{
+    auto& load = own_[std::string(upstream)];
+    load.prefill_tokens -= std::min(load.prefill_tokens, prefill_tokens);
+    ++load.decoding;
+}
+
+void load_ledger::remove(std::string_view upstream, std::uint32_t prefill_tokens, bool was_decoding)
+{
+    const auto found = own_.find(std::string(upstream));
+    if (found == own_.end()) {
+        return;
+    }
+    auto& load = found->second;
+    load.in_flight -= std::min(load.in_flight, 1U);
+    load.decoding -= std::min(load.decoding, was_decoding ? 1U : 0U);
+    load.prefill_tokens -= std::min(load.prefill_tokens, prefill_tokens);
+    if (load.in_flight == 0) {
+        own_.erase(found);
+    }
+}
+
+void load_ledger::on_report(load_report report, time_point now)
+{
+    const auto known = reports_.find(report.daemon);
+    if (known != reports_.end()) {
+        const auto& last = known->second.report;
+        const auto age = std::pair(report.incarnation, report.sequence);
+        if (age <= std::pair(last.incarnation, last.sequence)) {
+            return;
+        }
+        sum_up(last, -1);
+    }
+    sum_up(report, 1);
+    auto name = report.daemon;
+    reports_.insert_or_assign(std::move(name), received{std::move(report), now});
+}
+
+void load_ledger::expire(time_point now)
+{
+    for (auto each = reports_.begin(); each != reports_.end();) {
+        if (now - each->second.at < report_lifetime) {
+            ++each;
+            continue;
+        }
+        sum_up(each->second.report, -1);
+        each = reports_.erase(each);
+    }
+}
+
+void load_ledger::sum_up(const load_report& report, int sign)
+{
+    for (const auto& [upstream, load] : report.loads) {
+        auto& sum = others_[upstream];
+        sum.in_flight += static_cast<std::uint32_t>(sign) * load.in_flight;
+        sum.decoding += static_cast<std::uint32_t>(sign) * load.decoding;
+        sum.prefill_tokens += static_cast<std::uint32_t>(sign) * load.prefill_tokens;
+        if (sum == upstream_load{}) {
+            others_.erase(upstream);
+        }
+    }
+}
+
+upstream_load load_ledger::at(std::string_view upstream) const
+{
+    auto sum = find_load(own_, upstream);
+    const auto others = find_load(others_, upstream);
+    sum.in_flight += others.in_flight;
+    sum.decoding += others.decoding;
+    sum.prefill_tokens += others.prefill_tokens;
+    return sum;
+}
+
+std::vector<stream_demand> load_ledger::demands_of_others() const
+{
+    std::vector<stream_demand> result;
+    for (const auto& [name, each] : reports_) {
+        const auto& demands = each.report.demands;
+        result.insert(result.end(), demands.begin(), demands.end());
+    }
+    return result;
+}
+
+std::vector<std::pair<std::string, upstream_load>> load_ledger::own_loads() const
+{
+    return {own_.begin(), own_.end()};
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/load_ledger.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinegap {
+
+/// Work that daemons have at one upstream.
+struct upstream_load {
+    std::uint32_t in_flight{0};
+    std::uint32_t decoding{0};       ///< Streams whose first event has come.
+    std::uint32_t prefill_tokens{0}; ///< Prompt tokens still to be read, by the senders' estimate.
+    bool operator==(const upstream_load&) const = default;
+};
+
+/// The wanted work of streams that tolerate the same time for one token.
+struct stream_demand {
+    duration step_tolerance{0};
+    double work{0}; ///< Engine seconds per second.
+};
+
+/// What one daemon tells the others of its own work.
+struct load_report {
+    std::string daemon;
+    std::uint64_t incarnation{0};
+    std::uint64_t sequence{0};
+    std::uint64_t configuration_version{0};
+    std::vector<std::pair<std::string, upstream_load>> loads; ///< By upstream id.
+    std::vector<stream_demand> demands;
+};
+
+/// The load of every upstream as the sum of this daemon's own work and the latest reports of the others. A
+/// report that is not renewed within `report_lifetime` no longer counts: its daemon is gone or out of reach.
+class load_ledger {
+public:
+    static constexpr duration report_lifetime = milliseconds(1500); ///< Several report intervals.
+
+    void add(std::string_view upstream, std::uint32_t prefill_tokens);
+    void prefill_done(std::string_view upstream, std::uint32_t prefill_tokens);
+    /// \param prefill_tokens what was not done of the prefill; \param was_decoding whether it was.
+    void remove(std::string_view upstream, std::uint32_t prefill_tokens, bool was_decoding);
+
+    /// Ignores reports that are older than the last of the same daemon.
+    void on_report(load_report report, time_point now);
+    void expire(time_point now);
+
+    upstream_load at(std::string_view upstream) const;
+    /// The demand of all other daemons.
+    std::vector<stream_demand> demands_of_others() const;
+    /// Daemons whose reports count.
+    std::size_t reporting_daemons() const { return reports_.size(); }
+    /// This daemon's own loads, for its report.
+    std::vector<std::pair<std::string, upstream_load>> own_loads() const;
+
+private:
+    struct received {
+        load_report report;
+        time_point at;
+    };
+    void sum_up(const load_report& report, int sign);
+
+    std::unordered_map<std::string, upstream_load> own_;
+    std::unordered_map<std::string, upstream_load> others_; ///< Sum over `reports_`.
+    std::map<std::string, received, std::less<>> reports_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/request_router.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "routing/crash_watch.h"
+#include "routing/demand_meter.h"
+#include "routing/engine_partition.h"
+#include "routing/load_ledger.h"
+#include "routing/retry_budget.h"
+#include "routing/routed_request.h"
+#include "routing/router_events.h"
+#include "routing/upstream_choice.h"
+#include "routing/upstream_directory.h"
+#include "routing/upstream_health.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace clementinegap {
+
+struct router_settings {
+    std::string daemon;
+    std::string zone;
+    std::uint64_t incarnation{0}; ///< Start time, so that a restarted daemon's reports are newer.
+    retry_budget_settings retries;
+};
+
+/// The decisions of an entry daemon that sends callers' requests straight to upstreams: which route, which
+/// upstream, whether to send again, when to give up. Pure: it is told of every event with its time, and
+/// returns what is to be done.
+class request_router {
+public:
+    explicit request_router(router_settings settings);
+
+    /// \returns actions in order; valid until the next call.
+    std::span<const router_action> on_event(const router_event& event, time_point now);
+    /// When `tick` is due at the latest.
+    time_point next_due() const { return timers_.next_due(); }
+
+    /// Whether callers should be sent here.
+    bool is_ready() const { return table_ != nullptr && directory_.size() > 0 && !draining(); }
+    bool draining() const { return last_end_ != never; }
+    std::size_t open_requests() const { return requests_.size(); }
+    const route_table* table() const { return table_.get(); }
+    /// What the other daemons are to be told.
+    load_report report(time_point now);
+    const engine_partition* partition(std::string_view service) const;
+    const load_ledger& loads() const { return ledger_; }
+
+private:
+    void on(const request_arrived& event);
+    void on(const send_failed& event);
+    void on(const first_event_seen& event);
+    void on(const request_completed& event);
+    void on(const caller_left& event);
+    void on(const configuration_received& event);
+    void on(const upstream_listed& event);
+    void on(const upstream_removed& event);
+    void on(const directory_listed& event);
+    void on(const directory_unreachable& event);
+    void on(const directory_reachable& event);
+    void on(const load_reported& event);
+    void on(const fleet_size_known& event) { registered_daemons_ = event.daemons; }
+    void on(const drain_begun& event) { last_end_ = event.last_end; }
+    void on(const tick&);
+
+    const std::string& pick_service(const route& way);
+    duration step_tolerance(const route& way, std::string_view service) const;
+    upstream_choice choose(const routed_request& request);
+    bool try_send(routed_request& request);
+    void release(routed_request& request);
+    bool may_send_again(routed_request& request, const send_failed& event);
+    void give_up(routed_request& request, send_fault fault, bool answer_begun);
+    void on_timer(request_number number);
+    void schedule(routed_request& request);
+    void finish(routed_request& request);
+    void refuse(request_number number, std::string_view id, int status, result_code code,
+                std::optional<duration> retry_after, std::string detail);
+    void log(std::string_view event, const routed_request& request, std::string detail);
+    void process_gone(std::string_view upstream);
+    void update_partitions();
+    std::size_t daemons() const;
+    duration jittered(duration value);
+    retry_budget& budget(const std::string& service);
+    void housekeeping();
+
+    router_settings settings_;
+    time_point now_{};
+    timer_service timers_;
+    std::minstd_rand random_;
+    std::shared_ptr<const route_table> table_;
+    upstream_directory directory_;
+    upstream_health health_;
+    load_ledger ledger_;
+    demand_meter demand_;
+    crash_watch crashes_;
+    std::map<std::string, engine_partition, std::less<>> partitions_;
+    std::map<std::string, retry_budget, std::less<>> budgets_;
+    std::map<std::string, duration, std::less<>> service_times_; ///< Smoothed time of a plain request.
+    std::unordered_map<request_number, routed_request> requests_;
+    std::vector<router_action> actions_;
+    std::size_t registered_daemons_{1};
+    std::uint64_t report_sequence_{0};
+    time_point last_end_{never};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/retry_budget.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace clementinegap {
+
+/// The bound on sends beyond the first of each request, for one service in a sliding window.
+struct retry_budget_settings {
+    double ratio{0.2};          ///< Extra sends per request.
+    double slack{0};            ///< Extra sends of the whole fleet beyond the ratio.
+    duration window{seconds(10)};
+};
+
+/// One daemon's part of the budget that all daemons share: the ratio applies to its own requests, the slack is
+/// divided evenly. Counts lie in buckets of an eighth of the window; one bucket more than the window is
+/// counted for extra sends, so the bound holds for any window.
+class retry_budget {
+public:
+    explicit retry_budget(retry_budget_settings settings) : settings_(settings) {}
+
+    void request_seen(time_point now);
+    /// Counts one extra send if the budget allows it. \param daemons live daemons, this one included.
+    bool take(std::size_t daemons, time_point now);
+
+private:
+    static constexpr std::size_t buckets_per_window = 8;
+    static constexpr std::size_t bucket_count = buckets_per_window + 1;
+    /// Part of the budget that is used: other daemons count a moment later and see fewer members at times.
+    static constexpr double used_share = 0.7;
+
+    struct bucket {
+        std::int64_t number{-1};
+        std::uint32_t requests{0};
+        std::uint32_t extra_sends{0};
+    };
+    bucket& current(time_point now);
+
+    retry_budget_settings settings_;
+    std::array<bucket, bucket_count> buckets_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/routed_request.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/timer_service.h"
+#include "routing/prompt.h"
+#include "routing/router_events.h"
+#include "routing/upstream_choice.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// A request that the router holds.
+struct routed_request {
+    request_number number{0};
+    std::string id;
+    std::shared_ptr<const route_table> table; ///< Keeps `way` alive.
+    const route* way{nullptr};
+    std::string service;
+    std::string workspace;
+    std::uint8_t urgency{0};
+    std::string fingerprint; ///< The same for every time that a caller sends the same work.
+    prompt_facts prompt;
+    duration step_tolerance{0};
+    time_point arrived;
+    time_point ends_at; ///< The caller's deadline or the route's timeout.
+    timer_service::timer_id timer{0};
+
+    upstream_ptr upstream; ///< Of the current send; nullptr without one.
+    std::uint32_t prefill_tokens{0};
+    bool first_event{false};
+    std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
+    std::uint32_t sends{0};         ///< Sends that reached an upstream.
+    std::uint32_t unreachable{0};
+    bool may_have_run{false};
+
+    bool is_generation() const { return prompt.is_generation(); }
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/router_events.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "core/result_code.h"
+#include "core/soft_state.h"
+#include "core/tick.h"
+#include "routing/load_ledger.h"
+#include "routing/prompt.h"
+#include "routing/route_table.h"
+#include "routing/upstream_directory.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// \file
+/// What the router is told and what it orders. Both sides carry facts only: bytes and connections stay with
+/// the caller of the router.
+
+namespace clementinegap {
+
+using request_number = std::uint64_t;
+
+/// A whole request was read.
+struct request_arrived {
+    request_number request{0};
+    std::string id; ///< The caller's id, for the log.
+    std::string host;
+    std::string path;
+    std::string api_key;              ///< Empty without one.
+    std::optional<duration> deadline; ///< How long the caller waits.
+    std::uint64_t body_hash{0};
+    prompt_facts prompt;
+};
+
+/// How a send ended without an answer that can be passed on.
+enum class send_fault : std::uint8_t {
+    unreachable,    ///< No connection; nothing of the request was sent.
+    not_run,        ///< The upstream says that it did not and will not run it.
+    wrong_instance, ///< Another process has the address; it did not run it.
+    lost,           ///< The connection ended before the answer was complete.
+    failed_answer,  ///< A complete failure answer of the upstream, held back so far.
+    bad_answer,     ///< Bytes that are no answer to this request.
+};
+
+/// A send ended in a fault.
+struct send_failed {
+    request_number request{0};
+    send_fault fault{send_fault::lost};
+    bool answer_begun{false};    ///< The caller has the head of the answer.
+    bool upstream_alive{true};   ///< False when the process at the other end is gone.
+};
+
+/// The first event of a stream came.
+struct first_event_seen {
+    request_number request{0};
+};
+
+/// The whole answer was passed on.
+struct request_completed {
+    request_number request{0};
+    bool upstream_failed{false}; ///< It was a failure answer of the upstream.
+};
+
+/// The caller closed its connection before the answer was complete.
+struct caller_left {
+    request_number request{0};
+};
+
+/// A newer configuration is to be in force.
+struct configuration_received {
+    std::shared_ptr<const route_table> table;
+};
+
+struct upstream_listed {
+    upstream_record record;
+};
+
+struct upstream_removed {
+    std::string id;
+};
+
+/// All upstreams that the directory has.
+struct directory_listed {
+    std::vector<upstream_record> records;
+};
+
+struct directory_unreachable {};
+struct directory_reachable {};
+
+struct load_reported {
+    load_report report;
+    std::vector<soft_item> items;
+};
+
+/// Daemons that are registered, this one included; the fleet may have fewer alive.
+struct fleet_size_known {
+    std::size_t daemons{1};
+};
+
+/// This process is to end: requests that come from now on must end by `last_end`.
+struct drain_begun {
+    time_point last_end{};
+};
+
+using router_event =
+    std::variant<request_arrived, send_failed, first_event_seen, request_completed, caller_left,
+                 configuration_received, upstream_listed, upstream_removed, directory_listed,
+                 directory_unreachable, directory_reachable, load_reported, fleet_size_known, drain_begun, tick>;
+
+/// Send the request to this upstream, in place of an earlier send of it.
+struct send_request {
+    request_number request{0};
+    upstream_ptr upstream;
+    duration time_left{0};
+    std::string workspace;     ///< Empty for a public route without a key.
+    std::uint8_t urgency{0};   ///< 0 is the most urgent.
+    bool is_generation{false};
+    bool is_stream{false};
+    bool repeatable{false};    ///< A failure answer is reported before it is passed on.
+    bool resumable{false};
+};
+
+/// Give the caller this final answer of the router's own. It has had nothing so far.
+struct answer_caller {
+    request_number request{0};
+    int status{0};
+    result_code code{result_code::internal};
+    std::optional<duration> retry_after;
+};
+
+/// Pass on the failure answer that was held back.
+struct pass_failure {
+    request_number request{0};
+};
+
+/// End the caller's connection: the answer that was begun cannot be completed.
+struct cut_caller {
+    request_number request{0};
+};
+
+/// Close the upstream connection of this request.
+struct stop_send {
+    request_number request{0};
+};
+
+/// A line for the log: a decision, what decided it and the outcome.
+struct log_decision {
+    std::string event;
+    std::string request_id;
+    std::string upstream;
+    std::string detail;
+};
+
+/// Tell the other daemons.
+struct spread_item {
+    soft_item item;
+};
+
+using router_action = std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send, log_decision,
+                                   spread_item>;
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/upstream_choice.cpp
@@ -0,0 +1,111 @@
+#include "routing/upstream_choice.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace clementinegap {
+namespace {
+
+/// Prompt tokens that an engine reads in a millisecond, from the operators' sheet of their engines.
+constexpr double prefill_tokens_per_ms = 30.0;
+/// Reading a part again delays others besides this request, so it weighs more than its own time.
+constexpr double reread_weight = 2.0;
+/// What a running stream adds to the time of each token, over an answer of usual length.
+constexpr duration cost_per_stream = microseconds(1500);
+/// What a request that failed costs its caller, against waiting.
+constexpr duration cost_of_failure = seconds(2);
+/// Loads within this of the best count as equal, in requests per slot.
+constexpr double zone_preference_requests = 1.0;
+
+bool is_excluded(const upstream_record& upstream, const choice_view& view)
+{
+    return std::find(view.excluded.begin(), view.excluded.end(), upstream.id) != view.excluded.end();
+}
+
+duration scaled(duration value, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+/// Calls `visit` for each upstream that may be used; for those to be avoided only when there is no other.
+template <class visitor>
+void for_each_usable(std::span<const upstream_ptr> upstreams, const choice_view& view, visitor&& visit)
+{
+    bool found = false;
+    for (const bool avoided : {false, true}) {
+        for (const auto& each : upstreams) {
+            if (is_excluded(*each, view) || view.health.avoided(each->id, view.now) != avoided) {
+                continue;
+            }
+            found = true;
+            visit(each);
+        }
+        if (found) {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+duration prefill_time(std::uint64_t tokens)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(tokens) / prefill_tokens_per_ms * 1000));
+}
+
+upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
+                              const choice_view& view)
+{
+    const auto* session = prompt.session();
+    upstream_ptr owner;
+    if (session != nullptr) {
+        std::uint64_t best_score = 0;
+        for_each_usable(engines, view, [&](const upstream_ptr& each) {
+            const auto score = hash64(each->id, session->id);
+            if (!owner || score > best_score) {
+                owner = each;
+                best_score = score;
+            }
+        });
+    }
+    upstream_choice best;
+    duration best_cost = duration::max();
+    for_each_usable(engines, view, [&](const upstream_ptr& each) {
+        const auto load = view.load.at(each->id);
+        const bool holds_session = each == owner;
+        const auto reread = session == nullptr || holds_session ? 0U : session->tokens;
+        const auto wait = prefill_time(load.prefill_tokens);
+        const auto cost = wait + scaled(prefill_time(reread), reread_weight) +
+                          cost_per_stream * load.in_flight +
+                          scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = {each, wait, prompt.own_tokens() + reread, holds_session};
+        }
+    });
+    return best;
+}
+
+upstream_choice choose_plain(std::span<const upstream_ptr> upstreams, duration service_time,
+                             const choice_view& view)
+{
+    upstream_choice best;
+    double best_cost = std::numeric_limits<double>::max();
+    for_each_usable(upstreams, view, [&](const upstream_ptr& each) {
+        const double slots = std::max(each->slots, 1U);
+        const double in_flight = view.load.at(each->id).in_flight;
+        const bool near = each->zone == view.zone;
+        const double cost = (in_flight + (near ? 0 : zone_preference_requests)) / slots +
+                            view.health.failure_share(each->id, view.now);
+        if (cost < best_cost) {
+            best_cost = cost;
+            const double waiting = std::max(0.0, in_flight + 1 - slots);
+            best = {each, scaled(service_time, waiting / slots), 0, false};
+        }
+    });
+    return best;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/upstream_choice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "routing/engine_partition.h"
+#include "routing/load_ledger.h"
+#include "routing/prompt.h"
+#include "routing/upstream_health.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace clementinegap {
+
+/// What a choice of an upstream is made from.
+struct choice_view {
+    const load_ledger& load;
+    const upstream_health& health;
+    std::string_view zone;                ///< Of this daemon.
+    std::span<const std::string> excluded; ///< Ids that the request was sent to already.
+    time_point now;
+};
+
+/// An upstream for a request, with what is expected there.
+struct upstream_choice {
+    upstream_ptr upstream; ///< nullptr when none can be used.
+    duration expected_wait{0};
+    std::uint32_t prefill_tokens{0}; ///< Tokens that the engine has to read for this request.
+    bool holds_session{false};       ///< Whether it is expected to have the session's part cached.
+};
+
+/// Time that an engine takes to read `tokens`.
+duration prefill_time(std::uint64_t tokens);
+
+/// The engine that begins this generation soonest, counting the prompt parts that it would have to read again.
+/// Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that order
+/// takes over while the owner is loaded, failing or gone.
+upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
+                              const choice_view& view);
+
+/// The plain upstream with the least work for its slots; one in the own zone is preferred when it is not
+/// busier by more than a request.
+upstream_choice choose_plain(std::span<const upstream_ptr> upstreams, duration service_time,
+                             const choice_view& view);
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/upstream_directory.cpp
@@ -0,0 +1,76 @@
+#include "routing/upstream_directory.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+
+bool upstream_directory::put(upstream_record record)
+{
+    auto& entry = upstreams_[record.id];
+    entry.drop_at = never;
+    if (entry.record && *entry.record == record) {
+        return false;
+    }
+    entry.record = std::make_shared<const upstream_record>(std::move(record));
+    return true;
+}
+
+void upstream_directory::erase(std::string_view id, time_point now)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    if (!in_doubt(now)) {
+        upstreams_.erase(found);
+        return;
+    }
+    const auto returned_at = lost_ ? now : doubt_ends_ - lapse_grace;
+    found->second.drop_at = std::min(found->second.drop_at, returned_at + lapse_grace);
+}
+
+void upstream_directory::retain(std::span<const std::string> ids, time_point now)
+{
+    std::vector<std::string> missing;
+    for (const auto& [id, entry] : upstreams_) {
+        if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        erase(id, now);
+    }
+}
+
+void upstream_directory::directory_returned(time_point now)
+{
+    if (!lost_) {
+        return;
+    }
+    lost_ = false;
+    doubt_ends_ = now + lapse_grace;
+}
+
+void upstream_directory::expire(time_point now)
+{
+    std::erase_if(upstreams_, [&](const auto& each) { return each.second.drop_at <= now; });
+}
+
+std::vector<upstream_ptr> upstream_directory::usable(std::string_view service) const
+{
+    std::vector<upstream_ptr> result;
+    for (const auto& [id, entry] : upstreams_) {
+        if (!entry.record->leaving && entry.record->service == service) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
+upstream_ptr upstream_directory::find(std::string_view id) const
+{
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? nullptr : found->second.record;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/upstream_directory.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "routing/upstream_record.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinegap {
+
+using upstream_ptr = std::shared_ptr<const upstream_record>;
+
+/// The upstreams that may get new work, by service. Follows the platform's directory. An entry that
+/// disappears while the directory was disturbed may have lapsed by mistake: it is kept for
+/// `lapse_grace` after the directory's return. Otherwise a missing entry has left.
+class upstream_directory {
+public:
+    /// The platform restores lapsed entries within about two seconds of its return.
+    static constexpr duration lapse_grace = milliseconds(2200);
+
+    /// An entry was written. Returns whether what is known of the upstream changed.
+    bool put(upstream_record record);
+    /// An entry is gone.
+    void erase(std::string_view id, time_point now);
+    /// A full listing: whatever is not among `ids` is gone.
+    void retain(std::span<const std::string> ids, time_point now);
+    /// The directory could not be read; what is erased from now until shortly after its return is in doubt.
+    void directory_lost() { lost_ = true; }
+    void directory_returned(time_point now);
+    /// Drops entries in doubt whose grace has ended.
+    void expire(time_point now);
+
+    /// Upstreams of `service` that are not leaving, ordered by id.
+    std::vector<upstream_ptr> usable(std::string_view service) const;
+    /// nullptr for an id that is not listed.
+    upstream_ptr find(std::string_view id) const;
+    std::size_t size() const { return upstreams_.size(); }
+
+private:
+    struct listed {
+        upstream_ptr record;
+        time_point drop_at{never};
+    };
+    bool in_doubt(time_point now) const { return lost_ || now < doubt_ends_; }
+
+    std::map<std::string, listed, std::less<>> upstreams_;
+    bool lost_{false};
+    time_point doubt_ends_{};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/upstream_record.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace clementinegap {
+
+/// An IPv4 address and port.
+struct endpoint {
+    std::string ip;
+    std::uint16_t port{0};
+    bool operator==(const endpoint&) const = default;
+};
+
+/// What an upstream says of itself in the platform's directory.
+struct upstream_record {
+    std::string id;
+    std::string service;
+    endpoint address;
+    std::string zone;
+    std::uint32_t slots{1};
+    bool leaving{false};
+    std::int64_t incarnation{0}; ///< Start time in Unix milliseconds; another value is another process.
+    bool operator==(const upstream_record&) const = default;
+};
+
+} // namespace clementinegap
