An answer without a length is passed on without one

Ruled out: a reset read as an end (the close is orderly, seen in the log of the close's cause); a parser that ends a body early (the answer has neither length nor chunks). Change: such an answer keeps its framing towards the caller; a stream that was resumed and then ends without a length is cut, since nobody can tell whether it is whole.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -62,7 +62,8 @@
     }
     uv_update_time(&loop_);
     const auto wait = std::max<duration>(at - now(), duration::zero());
-    const auto wait_ms = static_cast<std::uint64_t>((wait + milliseconds(1) - microseconds(1)) / milliseconds(1));
+    const auto wait_ms =
+        static_cast<std::uint64_t>((wait + milliseconds(1) - microseconds(1)) / milliseconds(1));
     uv_timer_start(
         &timer_,
         [](uv_timer_t* handle) {
--- a/net/http_client_connection.cpp
+++ b/net/http_client_connection.cpp
@@ -4,23 +4,23 @@
 
 http_client_connection::http_client_connection(event_loop& loop, std::function<void()> on_idle_end)
     : tcp_(loop, *this), on_idle_end_(std::move(on_idle_end)),
-      reader_(http_reader::kind::answers,
-              {[this](http_head& head) {
-                   if (by_ == nullptr) {
-                       return http_reader::body_rule::none;
-                   }
-                   const auto verdict = by_->on_answer_head(head);
-                   discarding_ = verdict == head_verdict::discard;
-                   keep_alive_ = keep_alive_ && head.keep_alive;
-                   return verdict == head_verdict::take_without_body ? http_reader::body_rule::none
-                                                                     : http_reader::body_rule::as_framed;
-               },
-               [this](std::string_view bytes) {
-                   if (!discarding_ && by_ != nullptr) {
-                       by_->on_answer_bytes(bytes);
-                   }
-               },
-               [] {}})
+      reader_(http_reader::kind::answers, {[this](http_head& head) {
+                                               if (by_ == nullptr) {
+                                                   return http_reader::body_rule::none;
+                                               }
+                                               const auto verdict = by_->on_answer_head(head);
+                                               discarding_ = verdict == head_verdict::discard;
+                                               keep_alive_ = keep_alive_ && head.keep_alive;
+                                               return verdict == head_verdict::take_without_body
+                                                          ? http_reader::body_rule::none
+                                                          : http_reader::body_rule::as_framed;
+                                           },
+                                           [this](std::string_view bytes) {
+                                               if (!discarding_ && by_ != nullptr) {
+                                                   by_->on_answer_bytes(bytes);
+                                               }
+                                           },
+                                           [] {}})
 {
 }
 
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -10,9 +10,15 @@
 namespace clementinegap {
 namespace {
 
-constexpr std::array<std::string_view, 9> hop_by_hop_headers = {
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-    "te",         "trailer",    "transfer-encoding",  "upgrade"};
+constexpr std::array<std::string_view, 9> hop_by_hop_headers = {"connection",
+                                                                "keep-alive",
+                                                                "proxy-authenticate",
+                                                                "proxy-authorization",
+                                                                "proxy-connection",
+                                                                "te",
+                                                                "trailer",
+                                                                "transfer-encoding",
+                                                                "upgrade"};
 
 } // namespace
 
@@ -30,8 +36,9 @@
 
 std::size_t http_head::count(std::string_view name) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        headers.begin(), headers.end(), [&](const http_header& each) { return same_header(each.name, name); }));
+    return static_cast<std::size_t>(
+        std::count_if(headers.begin(), headers.end(),
+                      [&](const http_header& each) { return same_header(each.name, name); }));
 }
 
 bool is_hop_by_hop(std::string_view name, std::string_view connection_header)
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -32,8 +32,8 @@
     std::size_t count(std::string_view name) const;
 };
 
-/// Whether a header concerns one connection only and must not be forwarded. \param connection_header the value
-/// of the message's Connection header, which may name further ones.
+/// Whether a header concerns one connection only and must not be forwarded. \param connection_header the
+/// value of the message's Connection header, which may name further ones.
 bool is_hop_by_hop(std::string_view name, std::string_view connection_header);
 
 /// The reason phrase of a status.
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -17,8 +17,8 @@
     duration idle_timeout{seconds(15)};
 };
 
-/// A client's kept connection: reads whole requests one after the other and sends their answers. Callbacks must
-/// not destroy the connection.
+/// A client's kept connection: reads whole requests one after the other and sends their answers. Callbacks
+/// must not destroy the connection.
 class http_server_connection final : private tcp_listener_events {
 public:
     class handler {
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -44,10 +44,9 @@
 {
     block_->owner = nullptr;
     const auto free_block = [](uv_handle_t* handle) { delete static_cast<handle_block*>(handle->data); };
-    if (reset_on_close_ &&
-        uv_tcp_close_reset(&block_->handle, [](uv_handle_t* handle) {
-            delete static_cast<handle_block*>(handle->data);
-        }) == 0) {
+    if (reset_on_close_ && uv_tcp_close_reset(&block_->handle, [](uv_handle_t* handle) {
+                               delete static_cast<handle_block*>(handle->data);
+                           }) == 0) {
         return;
     }
     uv_close(reinterpret_cast<uv_handle_t*>(&block_->handle), free_block);
@@ -60,19 +59,20 @@
         return false;
     }
     block_->connect.data = block_;
-    const int result = uv_tcp_connect(&block_->connect, &block_->handle, reinterpret_cast<sockaddr*>(&address),
-                                      [](uv_connect_t* request, int status) {
-                                          auto* owner = static_cast<handle_block*>(request->data)->owner;
-                                          if (owner == nullptr) {
-                                              return;
-                                          }
-                                          if (status != 0) {
-                                              owner->report_closed(close_cause::reset);
-                                              return;
-                                          }
-                                          owner->start_reading();
-                                          owner->events_.on_connected();
-                                      });
+    const int result =
+        uv_tcp_connect(&block_->connect, &block_->handle, reinterpret_cast<sockaddr*>(&address),
+                       [](uv_connect_t* request, int status) {
+                           auto* owner = static_cast<handle_block*>(request->data)->owner;
+                           if (owner == nullptr) {
+                               return;
+                           }
+                           if (status != 0) {
+                               owner->report_closed(close_cause::reset);
+                               return;
+                           }
+                           owner->start_reading();
+                           owner->events_.on_connected();
+                       });
     uv_tcp_nodelay(&block_->handle, 1);
     return result == 0;
 }
--- a/router/decision_log.cpp
+++ b/router/decision_log.cpp
@@ -33,7 +33,8 @@
       logger_(std::make_shared<spdlog::logger>("entry", std::make_shared<output_sink>(output_)))
 {
     logger_->set_level(spdlog::level::from_str(level));
-    logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","vm":")" + json_escaped(vm) + R"(",%v})",
+    logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","vm":")" + json_escaped(vm) +
+                             R"(",%v})",
                          spdlog::pattern_time_type::utc);
 }
 
--- a/router/decision_log.h
+++ b/router/decision_log.h
@@ -9,8 +9,8 @@
 
 namespace clementinegap {
 
-/// The daemon's log on standard output: JSON lines over spdlog into bounded memory, written between events. It
-/// never blocks and has a bounded rate.
+/// The daemon's log on standard output: JSON lines over spdlog into bounded memory, written between events.
+/// It never blocks and has a bounded rate.
 class decision_log {
 public:
     decision_log(const std::string& vm, const std::string& level);
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -32,7 +32,8 @@
 {
     const auto* table = router_.table();
     const auto configured = table == nullptr ? caller_limits{} : table->limits();
-    return {configured.header_bytes, configured.body_bytes, configured.header_timeout, configured.idle_timeout};
+    return {configured.header_bytes, configured.body_bytes, configured.header_timeout,
+            configured.idle_timeout};
 }
 
 void entry_gateway::on_request(http_server_connection& from, http_head head, std::string body)
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -23,7 +23,8 @@
 {
     timespec value{};
     clock_gettime(CLOCK_REALTIME, &value);
-    return static_cast<std::uint64_t>(value.tv_sec) * 1000 + static_cast<std::uint64_t>(value.tv_nsec) / 1000000;
+    return static_cast<std::uint64_t>(value.tv_sec) * 1000 +
+           static_cast<std::uint64_t>(value.tv_nsec) / 1000000;
 }
 
 std::string address_text(const endpoint& address)
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -43,6 +43,8 @@
         return verdict::discard;
     }
     answer_ = std::move(answer);
+    unframed_ = !head.chunked && !head.content_length && head.status != 204 && head.status != 304 &&
+                head_.method != "HEAD";
     if (answer_.wrong_instance) {
         fault_ = send_fault::wrong_instance;
     } else if (answer_.not_executed) {
@@ -71,29 +73,35 @@
         held_.append(bytes);
         return;
     }
-    begin_chunked();
-    if (caller_ != nullptr) {
-        caller_->write(as_chunk(bytes));
-    }
+    begin_streaming();
+    write_part(bytes);
 }
 
-void exchange::begin_chunked()
+void exchange::begin_streaming()
 {
     if (begun_) {
         return;
     }
     begun_ = true;
-    close_after_ = close_after_ || by_.stopping();
+    framing_ = unframed_ ? body_framing::until_close : body_framing::chunked;
+    close_after_ = close_after_ || by_.stopping() || unframed_;
     if (caller_ != nullptr) {
-        auto text = encode_answer(answer_head_, std::nullopt, close_after_);
+        auto text = encode_answer(answer_head_, framing_, 0, close_after_);
         if (!held_.empty()) {
-            text.append(as_chunk(held_));
+            text.append(unframed_ ? held_ : as_chunk(held_));
             held_.clear();
         }
         caller_->write(std::move(text));
     }
 }
 
+void exchange::write_part(std::string_view bytes)
+{
+    if (caller_ != nullptr) {
+        caller_->write(framing_ == body_framing::chunked ? as_chunk(bytes) : std::string(bytes));
+    }
+}
+
 void exchange::pass_events(std::string events)
 {
     if (events.empty()) {
@@ -101,9 +109,9 @@
     }
     if (!begun_) {
         held_ = std::move(events);
-        begin_chunked();
-    } else if (caller_ != nullptr) {
-        caller_->write(as_chunk(events));
+        begin_streaming();
+    } else {
+        write_part(events);
     }
     if (!first_event_) {
         first_event_ = true;
@@ -142,8 +150,10 @@
         report_fault(send_fault::failed_answer, true);
         return;
     }
-    if (order_.is_stream && is_success() && events_.has_rest()) {
-        // The stream ended in the middle of an event.
+    const bool cannot_end = begun_ && framing_ == body_framing::chunked && unframed_;
+    if (order_.is_stream && is_success() && (events_.has_rest() || cannot_end)) {
+        // The stream ended in the middle of an event, or it was resumed and nobody can tell whether it is
+        // whole.
         report_fault(send_fault::lost, true);
         return;
     }
@@ -154,17 +164,19 @@
 void exchange::pass_held()
 {
     if (begun_) {
-        if (caller_ != nullptr) {
+        if (caller_ != nullptr && framing_ == body_framing::chunked) {
             caller_->write(std::string(last_chunk));
         }
         end_caller(close_after_);
         return;
     }
-    close_after_ = close_after_ || by_.stopping();
+    close_after_ = close_after_ || by_.stopping() || unframed_;
     if (caller_ != nullptr) {
         const bool bodiless = head_.method == "HEAD";
-        const auto length = bodiless && answer_head_.content_length ? *answer_head_.content_length : held_.size();
-        auto text = encode_answer(answer_head_, length, close_after_);
+        const auto length =
+            bodiless && answer_head_.content_length ? *answer_head_.content_length : held_.size();
+        const auto framing = unframed_ ? body_framing::until_close : body_framing::length;
+        auto text = encode_answer(answer_head_, framing, length, close_after_);
         text.append(held_);
         caller_->write(std::move(text));
     }
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -56,7 +56,8 @@
     void on_exchange_failed(const exchange_failure& why) override;
 
     bool is_success() const { return answer_.status >= 200 && answer_.status < 300; }
-    void begin_chunked();
+    void begin_streaming();
+    void write_part(std::string_view bytes);
     void pass_events(std::string events);
     void pass_held();
     void end_caller(bool close);
@@ -77,7 +78,9 @@
     std::optional<send_fault> fault_;
     std::string held_;
     event_splitter events_;
-    bool begun_{false}; ///< The caller has the head of an answer.
+    body_framing framing_{body_framing::chunked}; ///< Of an answer whose head the caller has.
+    bool unframed_{false};                        ///< The current answer ends with its connection.
+    bool begun_{false};                           ///< The caller has the head of an answer.
     bool first_event_{false};
 };
 
--- a/router/peer_link.h
+++ b/router/peer_link.h
@@ -14,7 +14,8 @@
 /// Exchanges load reports with the other entry daemons by datagrams. Nothing rests on their arrival.
 class peer_link {
 public:
-    peer_link(event_loop& loop, std::function<void(load_reported)> on_report, std::function<void(std::string)> on_bad);
+    peer_link(event_loop& loop, std::function<void(load_reported)> on_report,
+              std::function<void(std::string)> on_bad);
 
     bool bind(const endpoint& address) { return socket_.bind(address.ip, address.port); }
     /// The other daemons' addresses by name.
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -26,8 +26,9 @@
     for (const auto& each : items) {
         spread.push_back({each.kind, each.key, each.value, each.lifetime.count()});
     }
-    const json document = {layout,  report.daemon, report.incarnation, report.sequence, report.configuration_version,
-                           loads, demands,       spread};
+    const json document = {
+        layout,  report.daemon, report.incarnation, report.sequence, report.configuration_version, loads,
+        demands, spread};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -48,7 +49,8 @@
         report.configuration_version = document.at(4).get<std::uint64_t>();
         for (const auto& each : document.at(5)) {
             report.loads.emplace_back(each.at(0).get<std::string>(),
-                                      upstream_load{each.at(1).get<std::uint32_t>(), each.at(2).get<std::uint32_t>(),
+                                      upstream_load{each.at(1).get<std::uint32_t>(),
+                                                    each.at(2).get<std::uint32_t>(),
                                                     each.at(3).get<std::uint32_t>()});
         }
         for (const auto& each : document.at(6)) {
--- a/router/store_link.cpp
+++ b/router/store_link.cpp
@@ -20,7 +20,8 @@
 
 table_reader::table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed,
                            callback on_progress)
-    : loop_(loop), store_(std::move(store)), follower_(std::move(table), seed), on_progress_(std::move(on_progress))
+    : loop_(loop), store_(std::move(store)), follower_(std::move(table), seed),
+      on_progress_(std::move(on_progress))
 {
 }
 
@@ -118,7 +119,8 @@
     on_progress_(std::move(progress));
 }
 
-row_writer::row_writer(event_loop& loop, endpoint store, std::string table, std::string key, std::string value)
+row_writer::row_writer(event_loop& loop, endpoint store, std::string table, std::string key,
+                       std::string value)
     : loop_(loop), store_(std::move(store)), request_(encode_row_write(table, key, value, host_of(store_)))
 {
 }
--- a/router/store_link.h
+++ b/router/store_link.h
@@ -17,7 +17,8 @@
 public:
     using callback = std::function<void(table_follower::progress)>;
 
-    table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed, callback on_progress);
+    table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed,
+                 callback on_progress);
     ~table_reader() override;
     table_reader(const table_reader&) = delete;
     table_reader& operator=(const table_reader&) = delete;
--- a/router/upstream_pool.cpp
+++ b/router/upstream_pool.cpp
@@ -5,8 +5,8 @@
 namespace clementinegap {
 namespace {
 
-/// Part of an upstream's idle time-out after which a connection is no longer trusted: a request that meets the
-/// close on its way may or may not have run.
+/// Part of an upstream's idle time-out after which a connection is no longer trusted: a request that meets
+/// the close on its way may or may not have run.
 constexpr int trusted_tenths = 6;
 
 } // namespace
@@ -29,9 +29,8 @@
         retire(std::move(last.connection));
     }
     auto holder = std::make_shared<std::weak_ptr<http_client_connection>>();
-    auto connection = std::make_shared<http_client_connection>(loop_, [this, key, holder] {
-        drop(key, holder->lock().get());
-    });
+    auto connection = std::make_shared<http_client_connection>(
+        loop_, [this, key, holder] { drop(key, holder->lock().get()); });
     *holder = connection;
     if (!connection->connect(upstream.address.ip, upstream.address.port, silence_limits{})) {
         return nullptr;
@@ -40,9 +39,11 @@
     return connection;
 }
 
-void upstream_pool::give_back(const upstream_record& upstream, connection_ptr connection, duration idle_timeout)
+void upstream_pool::give_back(const upstream_record& upstream, connection_ptr connection,
+                              duration idle_timeout)
 {
-    const auto limit = idle_timeout > duration::zero() ? idle_timeout * trusted_tenths / 10 : default_idle_limit;
+    const auto limit =
+        idle_timeout > duration::zero() ? idle_timeout * trusted_tenths / 10 : default_idle_limit;
     idle_[key_of(upstream)].push_back({std::move(connection), limit});
 }
 
--- a/routing/demand_meter.h
+++ b/routing/demand_meter.h
@@ -7,8 +7,8 @@
 
 namespace clementinegap {
 
-/// How much engine work this daemon's callers ask for, by what their streams tolerate: a decaying sum, so that
-/// it follows a burst within a second or two.
+/// How much engine work this daemon's callers ask for, by what their streams tolerate: a decaying sum, so
+/// that it follows a burst within a second or two.
 class demand_meter {
 public:
     static constexpr duration time_constant = milliseconds(2500); ///< Shorter than the swings of the traffic.
--- a/routing/engine_partition.cpp
+++ b/routing/engine_partition.cpp
@@ -88,9 +88,9 @@
 
 std::span<const upstream_ptr> engine_partition::engines_for(duration step_tolerance) const
 {
-    const auto found =
-        std::find_if(sections_.begin(), sections_.end(),
-                     [&](const section& each) { return each.step_tolerance == step_tolerance; });
+    const auto found = std::find_if(sections_.begin(), sections_.end(), [&](const section& each) {
+        return each.step_tolerance == step_tolerance;
+    });
     if (found == sections_.end()) {
         return engines_;
     }
@@ -99,9 +99,9 @@
 
 std::span<const upstream_ptr> engine_partition::looser_engines(duration step_tolerance) const
 {
-    const auto found =
-        std::find_if(sections_.begin(), sections_.end(),
-                     [&](const section& each) { return each.step_tolerance > step_tolerance; });
+    const auto found = std::find_if(sections_.begin(), sections_.end(), [&](const section& each) {
+        return each.step_tolerance > step_tolerance;
+    });
     if (found == sections_.end()) {
         return {};
     }
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -27,8 +27,7 @@
 constexpr int service_time_smoothing = 16;
 constexpr std::uint8_t most_urgency = 9;
 
-template <class... visitors>
-struct overloaded : visitors... {
+template <class... visitors> struct overloaded : visitors... {
     using visitors::operator()...;
 };
 
@@ -81,7 +80,8 @@
 void request_router::on(const request_arrived& event)
 {
     if (!table_) {
-        refuse(event.request, event.id, 503, result_code::not_ready, jittered(usual_return), "no configuration yet");
+        refuse(event.request, event.id, 503, result_code::not_ready, jittered(usual_return),
+               "no configuration yet");
         return;
     }
     const auto match = table_->find(event.host, event.path, event.api_key);
@@ -105,12 +105,12 @@
     request.workspace = match.owner == nullptr ? "" : match.owner->name;
     const auto priority = match.owner == nullptr ? std::nullopt : match.owner->priority;
     request.urgency = std::min(most_urgency, priority.value_or(match.found->priority));
-    request.fingerprint =
-        std::to_string(hash64(event.path, hash64(request.workspace, event.body_hash)));
+    request.fingerprint = std::to_string(hash64(event.path, hash64(request.workspace, event.body_hash)));
     request.prompt = event.prompt;
     request.step_tolerance = step_tolerance(*match.found, request.service);
     request.arrived = now_;
-    const auto timeout = match.found->timeout > duration::zero() ? match.found->timeout : duration(seconds(60));
+    const auto timeout =
+        match.found->timeout > duration::zero() ? match.found->timeout : duration(seconds(60));
     request.ends_at = now_ + std::min(timeout, event.deadline.value_or(timeout));
 
     if (crashes_.is_quarantined(request.fingerprint, now_)) {
@@ -121,7 +121,8 @@
     if (draining()) {
         const auto needed = match.found->is_stream ? drain_stream_time : match.found->timeout;
         if (now_ + needed > last_end_) {
-            refuse(event.request, event.id, 503, result_code::leaving, duration::zero(), "this daemon is stopping");
+            refuse(event.request, event.id, 503, result_code::leaving, duration::zero(),
+                   "this daemon is stopping");
             return;
         }
     }
@@ -176,7 +177,8 @@
     if (!request.is_generation()) {
         const auto upstreams = directory_.usable(request.service);
         const auto known = service_times_.find(request.service);
-        return choose_plain(upstreams, known == service_times_.end() ? first_service_time : known->second, view);
+        return choose_plain(upstreams, known == service_times_.end() ? first_service_time : known->second,
+                            view);
     }
     const auto& partition = partitions_[request.service];
     auto best = choose_engine(partition.engines_for(request.step_tolerance), request.prompt, view);
@@ -232,7 +234,8 @@
 {
     timers_.cancel(request.timer);
     auto due = request.ends_at;
-    const bool can_move = request.way->repeat == repeat_rule::repeatable && request.sends < request.way->max_upstreams;
+    const bool can_move =
+        request.way->repeat == repeat_rule::repeatable && request.sends < request.way->max_upstreams;
     if (can_move) {
         const auto move_at = now_ + duration(static_cast<duration::rep>(
                                         static_cast<double>(request.way->objective.count()) * move_share));
@@ -275,7 +278,8 @@
     } else if (request.may_have_run) {
         actions_.emplace_back(answer_caller{number, 504, result_code::deadline_expired, std::nullopt});
     } else {
-        actions_.emplace_back(answer_caller{number, 503, result_code::deadline_expired, jittered(usual_return)});
+        actions_.emplace_back(
+            answer_caller{number, 503, result_code::deadline_expired, jittered(usual_return)});
     }
     finish(request);
 }
@@ -288,7 +292,8 @@
     }
     auto& request = found->second;
     const auto upstream = request.upstream;
-    log("request.send_failed", request, std::string(to_string(event.fault)) + (event.answer_begun ? " begun" : ""));
+    log("request.send_failed", request,
+        std::string(to_string(event.fault)) + (event.answer_begun ? " begun" : ""));
     release(request);
     switch (event.fault) {
     case send_fault::unreachable:
--- a/routing/retry_budget.h
+++ b/routing/retry_budget.h
@@ -9,13 +9,13 @@
 
 /// The bound on sends beyond the first of each request, for one service in a sliding window.
 struct retry_budget_settings {
-    double ratio{0.2};          ///< Extra sends per request.
-    double slack{0};            ///< Extra sends of the whole fleet beyond the ratio.
+    double ratio{0.2}; ///< Extra sends per request.
+    double slack{0};   ///< Extra sends of the whole fleet beyond the ratio.
     duration window{seconds(10)};
 };
 
-/// One daemon's part of the budget that all daemons share: the ratio applies to its own requests, the slack is
-/// divided evenly. Counts lie in buckets of an eighth of the window; one bucket more than the window is
+/// One daemon's part of the budget that all daemons share: the ratio applies to its own requests, the slack
+/// is divided evenly. Counts lie in buckets of an eighth of the window; one bucket more than the window is
 /// counted for extra sends, so the bound holds for any window.
 class retry_budget {
 public:
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -36,11 +36,11 @@
     std::vector<weighted_service> targets; ///< Never empty.
     repeat_rule repeat{repeat_rule::once};
     bool is_stream{false};
-    bool is_public{false};         ///< Needs no API key.
-    duration timeout{0};           ///< The caller has its final answer by then.
-    duration objective{0};         ///< On time: the whole answer, for streams the first event.
-    duration max_gap{0};           ///< Longest pause between two events that is still on time; 0: none.
-    std::uint8_t priority{0};      ///< 0 is the most urgent.
+    bool is_public{false};          ///< Needs no API key.
+    duration timeout{0};            ///< The caller has its final answer by then.
+    duration objective{0};          ///< On time: the whole answer, for streams the first event.
+    duration max_gap{0};            ///< Longest pause between two events that is still on time; 0: none.
+    std::uint8_t priority{0};       ///< 0 is the most urgent.
     std::uint32_t max_upstreams{1}; ///< Upstreams that one request may be sent to.
 };
 
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -50,8 +50,8 @@
 struct send_failed {
     request_number request{0};
     send_fault fault{send_fault::lost};
-    bool answer_begun{false};    ///< The caller has the head of the answer.
-    bool upstream_alive{true};   ///< False when the process at the other end is gone.
+    bool answer_begun{false};  ///< The caller has the head of the answer.
+    bool upstream_alive{true}; ///< False when the process at the other end is gone.
 };
 
 /// The first event of a stream came.
@@ -106,21 +106,21 @@
     time_point last_end{};
 };
 
-using router_event =
-    std::variant<request_arrived, send_failed, first_event_seen, request_completed, caller_left,
-                 configuration_received, upstream_listed, upstream_removed, directory_listed,
-                 directory_unreachable, directory_reachable, load_reported, fleet_size_known, drain_begun, tick>;
+using router_event = std::variant<request_arrived, send_failed, first_event_seen, request_completed,
+                                  caller_left, configuration_received, upstream_listed, upstream_removed,
+                                  directory_listed, directory_unreachable, directory_reachable, load_reported,
+                                  fleet_size_known, drain_begun, tick>;
 
 /// Send the request to this upstream, in place of an earlier send of it.
 struct send_request {
     request_number request{0};
     upstream_ptr upstream;
     duration time_left{0};
-    std::string workspace;     ///< Empty for a public route without a key.
-    std::uint8_t urgency{0};   ///< 0 is the most urgent.
+    std::string workspace;   ///< Empty for a public route without a key.
+    std::uint8_t urgency{0}; ///< 0 is the most urgent.
     bool is_generation{false};
     bool is_stream{false};
-    bool repeatable{false};    ///< A failure answer is reported before it is passed on.
+    bool repeatable{false}; ///< A failure answer is reported before it is passed on.
     bool resumable{false};
 };
 
@@ -160,7 +160,7 @@
     soft_item item;
 };
 
-using router_action = std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send, log_decision,
-                                   spread_item>;
+using router_action =
+    std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send, log_decision, spread_item>;
 
 } // namespace clementinegap
--- a/routing/table_follower.h
+++ b/routing/table_follower.h
@@ -14,9 +14,9 @@
     enum class kind : std::uint8_t { listing, changes };
     kind what{kind::listing};
     std::string table;
-    std::string from_key;            ///< Of a listing: the first key wanted.
-    std::uint64_t after_version{0};  ///< Of changes.
-    duration wait{0};                ///< How long the store may hold the call for a change.
+    std::string from_key;           ///< Of a listing: the first key wanted.
+    std::uint64_t after_version{0}; ///< Of changes.
+    duration wait{0};               ///< How long the store may hold the call for a change.
 };
 
 struct table_row {
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -15,7 +15,7 @@
 struct choice_view {
     const load_ledger& load;
     const upstream_health& health;
-    std::string_view zone;                ///< Of this daemon.
+    std::string_view zone;                 ///< Of this daemon.
     std::span<const std::string> excluded; ///< Ids that the request was sent to already.
     time_point now;
 };
@@ -31,9 +31,9 @@
 /// Time that an engine takes to read `tokens`.
 duration prefill_time(std::uint64_t tokens);
 
-/// The engine that begins this generation soonest, counting the prompt parts that it would have to read again.
-/// Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that order
-/// takes over while the owner is loaded, failing or gone.
+/// The engine that begins this generation soonest, counting the prompt parts that it would have to read
+/// again. Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that
+/// order takes over while the owner is loaded, failing or gone.
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
                               const choice_view& view);
 
