A reset is told from an orderly end; the return of the store is asked for at once; tests and stand-ins

Cause 1: after a short read libuv takes a hang-up for the end of the stream without asking the socket, so a reset looked like an orderly end. Found by the new gateway test (no_length_reset). Change: at an end the socket is asked whether it was reset; the first call after a failure does not wait; a missing entry's grace ends on time. Connections close at once when they are given up.

--- a/net/http_client_connection.cpp
+++ b/net/http_client_connection.cpp
@@ -120,6 +120,7 @@
     by_ = nullptr;
     busy_ = false;
     ended_ = true;
+    tcp_.close();
 }
 
 void http_client_connection::fail(const exchange_failure& why)
--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -215,6 +215,7 @@
     }
     state_ = state::gone;
     due_ = never;
+    tcp_.close();
     by_.on_gone(*this);
 }
 
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -18,6 +18,18 @@
     }
 }
 
+/// Whether a connection that libuv reports as ended was reset. After a short read libuv takes a hang-up for
+/// the end of the stream without asking the socket, which hides a reset.
+bool was_reset(const uv_stream_t* stream)
+{
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(stream), &descriptor) != 0) {
+        return true;
+    }
+    char byte = 0;
+    return recv(descriptor, &byte, sizeof byte, MSG_DONTWAIT) != 0;
+}
+
 } // namespace
 
 /// Outlives the connection until libuv has closed the handle.
@@ -42,14 +54,25 @@
 
 tcp_connection::~tcp_connection()
 {
-    block_->owner = nullptr;
-    const auto free_block = [](uv_handle_t* handle) { delete static_cast<handle_block*>(handle->data); };
-    if (reset_on_close_ && uv_tcp_close_reset(&block_->handle, [](uv_handle_t* handle) {
-                               delete static_cast<handle_block*>(handle->data);
-                           }) == 0) {
+    close();
+}
+
+void tcp_connection::close()
+{
+    if (block_ == nullptr) {
+        return;
+    }
+    auto* block = block_;
+    block_ = nullptr;
+    block->owner = nullptr;
+    closed_reported_ = true;
+    const uv_close_cb free_block = [](uv_handle_t* handle) {
+        delete static_cast<handle_block*>(handle->data);
+    };
+    if (reset_on_close_ && uv_tcp_close_reset(&block->handle, free_block) == 0) {
         return;
     }
-    uv_close(reinterpret_cast<uv_handle_t*>(&block_->handle), free_block);
+    uv_close(reinterpret_cast<uv_handle_t*>(&block->handle), free_block);
 }
 
 bool tcp_connection::connect(const std::string& ip, std::uint16_t port)
@@ -115,7 +138,8 @@
         return;
     }
     if (count < 0) {
-        owner->report_closed(count == UV_EOF ? close_cause::end_of_stream : close_cause::reset);
+        const bool orderly = count == UV_EOF && !was_reset(stream);
+        owner->report_closed(orderly ? close_cause::end_of_stream : close_cause::reset);
         return;
     }
     owner->events_.on_bytes({buffer->base, static_cast<std::size_t>(count)});
@@ -182,6 +206,9 @@
 
 std::size_t tcp_connection::unwritten() const
 {
+    if (block_ == nullptr) {
+        return 0;
+    }
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&block_->handle));
 }
 
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -59,6 +59,8 @@
     std::size_t unwritten() const;
     /// Stops or resumes reading, so that a slow reader on the other side slows this sender.
     void pause(bool paused);
+    /// Closes now; nothing more is reported and what was not written is dropped.
+    void close();
     /// Makes the close a reset, so that the peer cannot take what it has for the whole.
     void reset_on_close() { reset_on_close_ = true; }
 
@@ -71,7 +73,7 @@
 
     event_loop& loop_;
     tcp_listener_events& events_;
-    handle_block* block_;
+    handle_block* block_; ///< nullptr once closed.
     bool reading_{false};
     bool reset_on_close_{false};
     bool closed_reported_{false};
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -175,7 +175,7 @@
 {
     const choice_view view{ledger_, health_, settings_.zone, request.tried, now_};
     if (!request.is_generation()) {
-        const auto upstreams = directory_.usable(request.service);
+        const auto upstreams = directory_.usable(request.service, now_);
         const auto known = service_times_.find(request.service);
         return choose_plain(upstreams, known == service_times_.end() ? first_service_time : known->second,
                             view);
@@ -538,7 +538,7 @@
     demands.insert(demands.end(), own.begin(), own.end());
     for (const auto& [name, each] : table_->services()) {
         if (each.engine) {
-            partitions_[name].update(directory_.usable(name), demands);
+            partitions_[name].update(directory_.usable(name, now_), demands);
         }
     }
 }
--- a/routing/table_follower.cpp
+++ b/routing/table_follower.cpp
@@ -25,7 +25,8 @@
     if (following_) {
         call.what = table_read::kind::changes;
         call.after_version = version_;
-        call.wait = change_wait;
+        // After a failure the return of the store must be known at once, not at the next change.
+        call.wait = reachable_ ? change_wait : duration::zero();
         return call;
     }
     call.from_key = from_key_;
--- a/routing/upstream_directory.cpp
+++ b/routing/upstream_directory.cpp
@@ -56,11 +56,11 @@
     std::erase_if(upstreams_, [&](const auto& each) { return each.second.drop_at <= now; });
 }
 
-std::vector<upstream_ptr> upstream_directory::usable(std::string_view service) const
+std::vector<upstream_ptr> upstream_directory::usable(std::string_view service, time_point now) const
 {
     std::vector<upstream_ptr> result;
     for (const auto& [id, entry] : upstreams_) {
-        if (!entry.record->leaving && entry.record->service == service) {
+        if (!entry.record->leaving && entry.drop_at > now && entry.record->service == service) {
             result.push_back(entry.record);
         }
     }
--- a/routing/upstream_directory.h
+++ b/routing/upstream_directory.h
@@ -34,7 +34,7 @@
     void expire(time_point now);
 
     /// Upstreams of `service` that are not leaving, ordered by id.
-    std::vector<upstream_ptr> usable(std::string_view service) const;
+    std::vector<upstream_ptr> usable(std::string_view service, time_point now) const;
     /// nullptr for an id that is not listed.
     upstream_ptr find(std::string_view id) const;
     std::size_t size() const { return upstreams_.size(); }
--- /dev/null
+++ b/stand_ins/routed_store.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "net/http_server_connection.h"
+#include "net/tcp_connection.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// Stand-in of the users' platform store: rows with versions, listings, feeds that wait, a history that can
+/// be dropped, outages. Runs on the loop of the test.
+class routed_store final : public http_server_connection::handler {
+public:
+    enum class weather : std::uint8_t { fair, busy, dropping, silent };
+
+    explicit routed_store(event_loop& loop);
+    bool listen() { return listener_.listen("127.0.0.1", 0); }
+    std::uint16_t port() const { return listener_.port(); }
+
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void erase(const std::string& table, const std::string& key);
+    const std::string* value(const std::string& table, const std::string& key) const;
+    /// What happens to calls from now on; those that wait are answered or dropped accordingly.
+    void set_weather(weather next);
+    /// Forgets all changes so far: feeds from before get 410.
+    void forget_history();
+    std::size_t calls() const { return calls_; }
+
+private:
+    struct stored {
+        std::string value;
+        std::uint64_t version{0};
+        bool deleted{false};
+    };
+    struct waiting {
+        http_server_connection* connection{nullptr};
+        std::string table;
+        std::uint64_t after{0};
+    };
+
+    void on_request(http_server_connection& from, http_head head, std::string body) override;
+    std::string answer_fault(int status, std::string_view text) override;
+    void on_gone(http_server_connection& from) override;
+    void on_written(http_server_connection&) override {}
+    void reply(http_server_connection& to, int status, const std::string& body);
+    std::string changes(const std::string& table, std::uint64_t after) const;
+    void answer_waiting();
+    void transact(http_server_connection& from, const std::string& body);
+
+    event_loop& loop_;
+    tcp_listener listener_;
+    std::list<std::unique_ptr<http_server_connection>> connections_;
+    std::map<std::string, std::map<std::string, stored>> tables_;
+    std::vector<waiting> waiting_;
+    std::uint64_t version_{1};
+    std::uint64_t history_from_{0};
+    weather weather_{weather::fair};
+    std::size_t calls_{0};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/stand_ins/routed_upstream.cpp
@@ -0,0 +1,142 @@
+#include "stand_ins/routed_upstream.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::string_view body_text = "the upstream's own bytes";
+
+std::string head_of(int status, const std::string& id, const std::string& more)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + more + "\r\n";
+}
+
+std::string sealed(const std::string& more = {})
+{
+    return "X-Response-Seal: s." + std::to_string(body_text.size()) + "\r\n" + more;
+}
+
+std::string whole(int status, const std::string& id, const std::string& more)
+{
+    return head_of(status, id, more + "Content-Length: " + std::to_string(body_text.size()) + "\r\n") +
+           std::string(body_text);
+}
+
+} // namespace
+
+routed_upstream::routed_upstream(event_loop& loop)
+    : loop_(loop), listener_(loop, [this](uv_stream_t* listening) {
+          auto connection = std::make_unique<http_server_connection>(loop_, *this, server_limits{});
+          if (connection->accept(listening, silence_limits{})) {
+              ++connection_count_;
+              connections_.push_back(std::move(connection));
+          }
+      })
+{
+}
+
+void routed_upstream::on_request(http_server_connection& from, http_head head, std::string body)
+{
+    const auto id = head.find("X-Request-Id") == nullptr ? std::string() : *head.find("X-Request-Id");
+    const auto* resume = head.find("Last-Event-Id");
+    const int first_event = resume == nullptr ? 1 : std::stoi(*resume) + 1;
+    const bool is_stream = head.find("X-Token-Counts") != nullptr;
+    seen_.push_back({std::move(head), std::move(body)});
+    auto next = is_stream ? behaviour::stream : behaviour::answer;
+    if (!script_.empty()) {
+        next = script_.front();
+        script_.pop_front();
+    }
+    switch (next) {
+    case behaviour::answer:
+        from.write(whole(200, id, sealed()));
+        from.end_answer(false);
+        return;
+    case behaviour::fail:
+        from.write(whole(500, id, sealed()));
+        from.end_answer(false);
+        return;
+    case behaviour::refuse:
+        from.write(whole(503, id, "X-Not-Executed: 1\r\n"));
+        from.end_answer(false);
+        return;
+    case behaviour::other_instance:
+        from.write(whole(421, id, "X-Instance-Id: other\r\n"));
+        from.end_answer(false);
+        return;
+    case behaviour::no_length:
+        from.write(head_of(200, id, sealed()) + std::string(body_text));
+        from.end_answer(true);
+        return;
+    case behaviour::no_length_reset:
+        from.write(head_of(200, id, sealed()) + std::string(body_text.substr(0, 5)));
+        from.cut();
+        return;
+    case behaviour::lose:
+        from.cut();
+        return;
+    case behaviour::truncate:
+        from.write(head_of(200, id, sealed("Content-Length: 1000\r\n")) + std::string(body_text));
+        from.end_answer(true);
+        return;
+    case behaviour::garbage:
+        from.write("\x01\x02 this is no answer\r\n\r\n");
+        from.end_answer(true);
+        return;
+    case behaviour::unsealed:
+        from.write(whole(200, id, ""));
+        from.end_answer(false);
+        return;
+    case behaviour::wrong_id_first:
+        from.write(whole(200, "another", sealed()) + whole(200, id, sealed()));
+        from.end_answer(false);
+        return;
+    case behaviour::extra_answer:
+        from.write(whole(200, id, sealed()) + whole(200, "another", sealed()));
+        from.end_answer(false);
+        return;
+    case behaviour::hang:
+        hanging_.push_back(&from);
+        return;
+    case behaviour::stream:
+        stream_from(from, id, first_event, false);
+        return;
+    case behaviour::stream_broken:
+        stream_from(from, id, first_event, true);
+        return;
+    }
+}
+
+void routed_upstream::stream_from(http_server_connection& to, const std::string& id, int first_event,
+                                  bool broken)
+{
+    to.write(head_of(200, id, sealed("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")));
+    for (int event = first_event; event <= stream_events; ++event) {
+        const auto text = "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+        if (broken && event == first_event + 2) {
+            to.write(as_chunk(std::string_view(text).substr(0, 9)));
+            to.end_answer(true);
+            return;
+        }
+        to.write(as_chunk(text));
+    }
+    to.write(std::string(last_chunk));
+    to.end_answer(false);
+}
+
+std::string routed_upstream::answer_fault(int status, std::string_view)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+}
+
+void routed_upstream::on_gone(http_server_connection& from)
+{
+    const auto waiting = std::find(hanging_.begin(), hanging_.end(), &from);
+    if (waiting != hanging_.end()) {
+        hanging_.erase(waiting);
+        ++abandoned_;
+    }
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/stand_ins/routed_upstream.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "net/http_server_connection.h"
+#include "net/tcp_connection.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// Stand-in of an upstream on the users' platform: echoes request ids, seals its answers, streams events, and
+/// misbehaves as told. Runs on the loop of the test.
+class routed_upstream final : public http_server_connection::handler {
+public:
+    enum class behaviour : std::uint8_t {
+        answer,          ///< 200 with a length.
+        fail,            ///< A sealed 500.
+        refuse,          ///< 503 that says it did not run the request.
+        other_instance,  ///< 421.
+        no_length,       ///< 200 that ends with its connection.
+        no_length_reset, ///< The same, but reset in the middle.
+        lose,            ///< Closes without an answer.
+        truncate,        ///< Closes before the promised length.
+        garbage,         ///< Bytes that are no answer.
+        unsealed,        ///< 200 without a seal.
+        wrong_id_first,  ///< An answer to another request before the right one.
+        extra_answer,    ///< A second answer after the right one.
+        hang,            ///< No answer.
+        stream,          ///< A whole event stream.
+        stream_broken,   ///< A stream that ends in the middle of its third event.
+    };
+
+    struct seen_request {
+        http_head head;
+        std::string body;
+    };
+
+    explicit routed_upstream(event_loop& loop);
+    bool listen() { return listener_.listen("127.0.0.1", 0); }
+    std::uint16_t port() const { return listener_.port(); }
+    /// The behaviours of the next requests; `answer`, or `stream` for streams, when none is left.
+    void script(std::deque<behaviour> next) { script_ = std::move(next); }
+    const std::vector<seen_request>& seen() const { return seen_; }
+    /// Requests whose caller closed its connection before the answer.
+    std::size_t abandoned() const { return abandoned_; }
+    /// Connections that were opened to it.
+    std::size_t connections() const { return connection_count_; }
+    void clear() { seen_.clear(); }
+
+    static constexpr int stream_events = 5;
+
+private:
+    void on_request(http_server_connection& from, http_head head, std::string body) override;
+    std::string answer_fault(int status, std::string_view text) override;
+    void on_gone(http_server_connection& from) override;
+    void on_written(http_server_connection&) override {}
+    static void stream_from(http_server_connection& to, const std::string& id, int first_event, bool broken);
+
+    event_loop& loop_;
+    tcp_listener listener_;
+    std::list<std::unique_ptr<http_server_connection>> connections_;
+    std::vector<http_server_connection*> hanging_;
+    std::deque<behaviour> script_;
+    std::vector<seen_request> seen_;
+    std::size_t abandoned_{0};
+    std::size_t connection_count_{0};
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/tests/router/test_gateway.cpp
@@ -0,0 +1,246 @@
+#include "router/gateway_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinegap;
+using clementinegap::testing::gateway_fixture;
+using clementinegap::testing::test_caller;
+using behaviour = routed_upstream::behaviour;
+
+namespace {
+
+const std::string answer_body = "the upstream's own bytes";
+const std::string generation = "X-Model: m\r\nX-Token-Counts: 100,15\r\nX-Prompt-Prefix: a:60,b:40\r\n";
+
+/// Both upstreams do the same, since either may be chosen.
+void script_both(gateway_fixture& at, const std::deque<behaviour>& next)
+{
+    at.upstream.script(next);
+    at.other.script(next);
+}
+
+const routed_upstream::seen_request& last_seen(const gateway_fixture& at)
+{
+    return at.upstream.seen().empty() ? at.other.seen().back() : at.upstream.seen().back();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_entry_gateway)
+
+BOOST_FIXTURE_TEST_SUITE(with_sound_upstreams, gateway_fixture)
+
+BOOST_AUTO_TEST_CASE(passes_a_request_and_its_answer_unchanged)
+{
+    const auto got = call("/book/x?a=b", "X-Tenant: forged\r\nX-Extra: 1\r\n", "the body");
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.body == answer_body);
+    BOOST_TEST(*got.head.find("X-Response-Seal") == "s.24");
+    const auto& seen = last_seen(*this);
+    BOOST_TEST(seen.body == "the body");
+    BOOST_TEST(seen.head.target == "/book/x?a=b");
+    BOOST_TEST(*seen.head.find("X-Tenant") == "team");
+    BOOST_TEST(*seen.head.find("X-Extra") == "1");
+    BOOST_TEST(seen.head.find("Authorization") == nullptr);
+    BOOST_TEST(seen.head.find("X-Expect-Instance") != nullptr);
+    BOOST_TEST(std::stoi(*seen.head.find("X-Deadline-Ms")) <= 14000);
+}
+
+BOOST_AUTO_TEST_CASE(serves_many_requests_on_one_connection_and_keeps_those_to_upstreams)
+{
+    test_caller caller(loop, gateway->port());
+    for (int i = 0; i < 20; ++i) {
+        caller.send(request("/book/x", "many-" + std::to_string(i), "", "b"));
+        BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+        BOOST_TEST(caller.result().status == 200);
+    }
+    BOOST_TEST(upstream.connections() + other.connections() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(reads_a_chunked_body)
+{
+    const auto got =
+        call_raw("POST /book/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: c\r\nAuthorization: Bearer k\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(last_seen(*this).body == "abcde");
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_a_stream_of_events)
+{
+    const auto got = call("/guide/x", generation);
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.head.chunked);
+    BOOST_TEST(got.body.find("id: 1\ndata: piece 1\n\nid: 2\n") == 0U);
+    BOOST_TEST(got.body.find("piece 5") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_bad_input_without_harm)
+{
+    BOOST_TEST(call("/nowhere/x").status == 404);
+    BOOST_TEST(call("/book/x", "X-Big: " + std::string(3000, 'a') + "\r\n").status == 431);
+    BOOST_TEST(call("/book/x", "", std::string(6000, 'a')).status == 413);
+    BOOST_TEST(call("/book/x", "Transfer-Encoding: chunked\r\n").status == 400);
+    BOOST_TEST(call("/book/x", "Host: second\r\n").status == 400);
+    BOOST_TEST(call_raw("GET / HTTP/1.1\nHost: h\n\n\r\n\r\n").status == 400);
+    BOOST_TEST(call_raw("\x16\x03\x01 no http\r\n\r\n").status == 400);
+    BOOST_TEST(call_raw("POST /book/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: z\r\nAuthorization: Bearer no\r\n"
+                        "Content-Length: 0\r\n\r\n")
+                   .status == 401);
+    BOOST_TEST(seen() == 0U);
+    BOOST_TEST(call("/book/x").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(answers_at_the_routes_timeout)
+{
+    script_both(*this, {behaviour::hang});
+    const auto got = call("/short/x");
+    BOOST_TEST(got.status == 504);
+    BOOST_TEST(run_until([&] { return upstream.abandoned() + other.abandoned() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(stops_the_upstream_when_the_caller_leaves)
+{
+    script_both(*this, {behaviour::hang});
+    {
+        test_caller caller(loop, gateway->port());
+        caller.send(request("/book/x", "leaves", "", "b"));
+        BOOST_REQUIRE(run_until([&] { return seen() == 1; }));
+    }
+    BOOST_TEST(run_until([&] { return upstream.abandoned() + other.abandoned() == 1; }));
+    BOOST_TEST(router.open_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(with_faulty_upstreams, gateway_fixture)
+
+BOOST_AUTO_TEST_CASE(gives_a_lookup_its_answer_over_every_single_fault)
+{
+    for (const auto fault :
+         {behaviour::lose, behaviour::truncate, behaviour::garbage, behaviour::unsealed, behaviour::refuse,
+          behaviour::other_instance, behaviour::no_length_reset, behaviour::fail}) {
+        gateway_fixture fresh;
+        // Whichever upstream is first has the fault, the other answers.
+        fresh.upstream.script({fault});
+        fresh.other.script({fault});
+        test_caller caller(fresh.loop, fresh.gateway->port());
+        caller.send(request("/look/x", "f", "", ""));
+        BOOST_REQUIRE(fresh.run_until([&] { return fresh.seen() >= 1; }));
+        (fresh.upstream.seen().empty() ? fresh.upstream : fresh.other).script({});
+        BOOST_REQUIRE(fresh.run_until([&] { return caller.result().ended || caller.result().failed; }));
+        BOOST_TEST(caller.result().status == 200, static_cast<int>(fault));
+        BOOST_TEST(caller.result().body == answer_body);
+        BOOST_TEST(fresh.seen() == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(runs_a_booking_once_and_says_what_is_known)
+{
+    const std::pair<behaviour, int> expected[] = {{behaviour::lose, 502},          {behaviour::truncate, 502},
+                                                  {behaviour::garbage, 502},       {behaviour::unsealed, 502},
+                                                  {behaviour::refuse, 503},        {behaviour::fail, 500},
+                                                  {behaviour::other_instance, 503}};
+    for (const auto& [fault, status] : expected) {
+        gateway_fixture fresh;
+        script_both(fresh, {fault});
+        BOOST_TEST(fresh.call("/book/x").status == status, static_cast<int>(fault));
+        BOOST_TEST(fresh.seen() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_an_answer_without_a_length_as_such)
+{
+    script_both(*this, {behaviour::no_length});
+    const auto got = call("/book/x");
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.body == answer_body);
+    BOOST_TEST(!got.head.content_length.has_value());
+    BOOST_TEST(!got.head.chunked);
+}
+
+BOOST_AUTO_TEST_CASE(drops_answers_to_other_requests)
+{
+    script_both(*this, {behaviour::wrong_id_first, behaviour::extra_answer});
+    test_caller caller(loop, gateway->port());
+    for (int i = 0; i < 4; ++i) {
+        caller.send(request("/book/x", "own-" + std::to_string(i), "", "b"));
+        BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+        BOOST_TEST(caller.result().status == 200);
+        BOOST_TEST(*caller.result().head.find("X-Request-Id") == "own-" + std::to_string(i));
+        BOOST_TEST(caller.result().body == answer_body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resumes_a_broken_stream_without_a_gap_or_a_repeat)
+{
+    script_both(*this, {behaviour::stream_broken});
+    test_caller caller(loop, gateway->port());
+    caller.send(request("/ask/x", "ask", generation, "b"));
+    BOOST_REQUIRE(run_until([&] { return seen() >= 1; }));
+    (upstream.seen().empty() ? upstream : other).script({});
+    BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+    BOOST_TEST(caller.result().ended);
+    std::string expected;
+    for (int event = 1; event <= routed_upstream::stream_events; ++event) {
+        expected += "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+    }
+    BOOST_TEST(caller.result().body == expected);
+    BOOST_TEST(*last_seen(*this).head.find("X-Request-Id") == "ask");
+}
+
+BOOST_AUTO_TEST_CASE(cuts_a_broken_stream_that_may_not_be_resumed)
+{
+    script_both(*this, {behaviour::stream_broken});
+    const auto got = call("/guide/x", generation);
+    BOOST_TEST(got.failed);
+    BOOST_TEST(!got.ended);
+    BOOST_TEST(seen() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(that_follows_the_store, gateway_fixture)
+
+BOOST_AUTO_TEST_CASE(sends_nothing_to_a_leaving_upstream)
+{
+    store.put("servers", "u1",
+              R"({"service":"app","address":"127.0.0.1:)" + std::to_string(upstream.port()) +
+                  R"(","zone":"z","slots":6,"state":"draining","born":1})");
+    BOOST_REQUIRE(run_until([&] {
+        upstream.clear();
+        return call("/look/x").status == 200 && upstream.seen().empty();
+    }));
+    other.clear();
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST(call("/book/x").status == 200);
+    }
+    BOOST_TEST(upstream.seen().empty());
+    BOOST_TEST(other.seen().size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_while_the_store_is_away_and_catches_up_after)
+{
+    for (const auto weather : {routed_store::weather::busy, routed_store::weather::dropping}) {
+        store.set_weather(weather);
+        BOOST_TEST(call("/book/x").status == 200);
+        store.erase("servers", "u1");
+        store.forget_history();
+        store.set_weather(routed_store::weather::fair);
+        BOOST_TEST(run_until([&] {
+            upstream.clear();
+            call("/book/x");
+            return upstream.seen().empty();
+        }));
+        store.put("servers", "u1",
+                  R"({"service":"app","address":"127.0.0.1:)" + std::to_string(upstream.port()) +
+                      R"(","zone":"z","slots":6,"state":"ready","born":1})");
+        BOOST_TEST(run_until([&] {
+            call("/book/x");
+            return !upstream.seen().empty();
+        }));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/router/test_router_parts.cpp
@@ -0,0 +1,110 @@
+#include "observability/bounded_output.h"
+#include "router/entry_settings.h"
+#include "router/event_splitter.h"
+#include "router/report_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <random>
+#include <unistd.h>
+
+using namespace clementinegap;
+
+BOOST_AUTO_TEST_SUITE(an_event_splitter)
+
+BOOST_AUTO_TEST_CASE(gives_out_whole_events_from_any_pieces)
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
+    std::minstd_rand random(3);
+    for (int round = 0; round < 200; ++round) {
+        event_splitter splitter;
+        std::string whole;
+        std::size_t at = 0;
+        while (at < text.size()) {
+            const auto size = std::min<std::size_t>(1 + random() % 7, text.size() - at);
+            whole += splitter.feed(std::string_view(text).substr(at, size));
+            at += size;
+        }
+        BOOST_TEST(whole == text.substr(0, text.rfind("id: 4")));
+        BOOST_TEST(splitter.last_id() == "3");
+        BOOST_TEST(splitter.has_rest());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(reports_between_daemons)
+
+BOOST_AUTO_TEST_CASE(come_back_as_they_were_and_survive_damage)
+{
+    load_report report{"d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5}}};
+    soft_item item;
+    item.kind = "poison";
+    item.key = "k";
+    item.value = "2";
+    item.lifetime = seconds(60);
+    const std::vector<soft_item> items{item};
+    const auto bytes = encode_report(report, items);
+    const auto back = decode_report(bytes);
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(back.value().report.sequence == 4U);
+    BOOST_TEST((back.value().report.loads == report.loads));
+    BOOST_TEST(back.value().items.front().key == "k");
+    std::minstd_rand random(9);
+    for (int round = 0; round < 5000; ++round) {
+        auto damaged = bytes;
+        damaged[random() % damaged.size()] = static_cast<char>(random());
+        (void)decode_report(damaged);
+        BOOST_TEST(!decode_report(bytes.substr(0, random() % bytes.size())).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(settings_of_an_entry)
+
+BOOST_AUTO_TEST_CASE(are_checked_as_a_whole)
+{
+    const std::string good = R"({ // comment
+        "vm": "front-1", "zone": "z", "caller_address": "10.0.0.1:80", "readiness_address": "10.0.0.1:81",
+        "peer_address": "10.0.0.1:82", "store_address": "10.0.0.2:83", "retry_slack": 56})";
+    BOOST_REQUIRE(entry_settings_from_text(good).has_value());
+    BOOST_TEST(entry_settings_from_text(good).value().store_address.port == 83);
+    const auto bad = entry_settings_from_text(
+        R"({"vm": 1, "caller_address": "nowhere", "retry_ratio": 7, "store_adress": "10.0.0.2:83"})");
+    BOOST_REQUIRE(!bad.has_value());
+    for (const auto* word : {"vm", "zone", "caller_address", "retry_ratio", "store_adress"}) {
+        BOOST_TEST(bad.error().message.find(word) != std::string::npos, word);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_bounded_output)
+
+BOOST_AUTO_TEST_CASE(never_blocks_and_counts_what_it_drops)
+{
+    int ends[2] = {-1, -1};
+    BOOST_REQUIRE(pipe(ends) == 0);
+    bounded_output output(ends[1], 1000, 100000);
+    const std::string line(99, 'x');
+    for (int i = 0; i < 5000; ++i) {
+        output.append(line + "\n");
+        output.flush(i * 10000 + 1);
+    }
+    BOOST_TEST(output.dropped() > 0U);
+    char buffer[65536];
+    (void)read(ends[0], buffer, sizeof buffer);
+    output.flush(5001 * 10000);
+    output.append(line + "\n");
+    output.flush(5002 * 10000);
+    std::string rest(65536, '\0');
+    const auto got = read(ends[0], rest.data(), rest.size());
+    rest.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    BOOST_TEST(rest.find("log.dropped") != std::string::npos);
+    close(ends[0]);
+    close(ends[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_parts.cpp
@@ -0,0 +1,228 @@
+#include "routing/engine_partition.h"
+#include "routing/load_ledger.h"
+#include "routing/retry_budget.h"
+#include "routing/route_table.h"
+#include "routing/table_follower.h"
+#include "routing/upstream_directory.h"
+#include "routing/upstream_health.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <random>
+
+using namespace clementinegap;
+
+namespace {
+
+constexpr time_point start{seconds(1000)};
+
+std::vector<upstream_ptr> make_engines(int count)
+{
+    std::vector<upstream_ptr> engines;
+    for (int i = 0; i < count; ++i) {
+        upstream_record record;
+        record.id = "engine-" + std::to_string(i);
+        engines.push_back(std::make_shared<const upstream_record>(record));
+    }
+    return engines;
+}
+
+table_row row(std::string key, std::string value, std::uint64_t version)
+{
+    return {std::move(key), std::move(value), version, false};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_route_table)
+
+BOOST_AUTO_TEST_CASE(takes_the_longest_prefix_of_the_host)
+{
+    route_table table(1);
+    for (const auto* prefix : {"/", "/a/b/", "/a/"}) {
+        route each;
+        each.host = "h";
+        each.prefix = prefix;
+        table.add_route(each);
+    }
+    BOOST_TEST(table.find("h", "/a/b/c", "").found->prefix == "/a/b/");
+    BOOST_TEST(table.find("h", "/a/x", "").found->prefix == "/a/");
+    BOOST_TEST(table.find("h", "/x", "").found->prefix == "/");
+    BOOST_TEST(table.find("other", "/a/b/c", "").found == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_retry_budget)
+
+BOOST_AUTO_TEST_CASE(holds_for_every_window_over_all_daemons)
+{
+    constexpr int daemons = 4;
+    constexpr double ratio = 0.2;
+    constexpr double slack = 56;
+    std::vector<retry_budget> budgets(daemons, retry_budget({ratio, slack, seconds(10)}));
+    std::minstd_rand random(7);
+    std::deque<time_point> requests;
+    std::deque<time_point> extra;
+    for (auto now = start; now < start + seconds(60); now += milliseconds(5)) {
+        auto& one = budgets[random() % daemons];
+        if (random() % 4 == 0) {
+            one.request_seen(now);
+            requests.push_back(now);
+        }
+        if (one.take(daemons, now)) {
+            extra.push_back(now);
+        }
+        while (!requests.empty() && requests.front() <= now - seconds(10)) {
+            requests.pop_front();
+        }
+        while (!extra.empty() && extra.front() <= now - seconds(10)) {
+            extra.pop_front();
+        }
+        BOOST_REQUIRE(static_cast<double>(extra.size()) <=
+                      ratio * static_cast<double>(requests.size()) + slack);
+    }
+    BOOST_TEST(!extra.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_engine_partition)
+
+BOOST_AUTO_TEST_CASE(gives_each_kind_an_engine_and_the_rest_by_demand)
+{
+    engine_partition partition;
+    const std::vector<stream_demand> demands = {
+        {milliseconds(80), 0.5}, {milliseconds(130), 1.0}, {milliseconds(330), 6.0}};
+    partition.update(make_engines(12), demands);
+    BOOST_TEST(partition.engines_for(milliseconds(80)).size() >= 1U);
+    BOOST_TEST(partition.engines_for(milliseconds(330)).size() >= 7U);
+    std::size_t total = 0;
+    for (const auto& each : partition.sections()) {
+        total += each.count;
+    }
+    BOOST_TEST(total == 12U);
+    BOOST_TEST(partition.looser_engines(milliseconds(330)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(follows_a_burst_and_ignores_small_differences)
+{
+    engine_partition partition;
+    std::vector<stream_demand> demands = {{milliseconds(80), 1.0}, {milliseconds(330), 1.0}};
+    partition.update(make_engines(12), demands);
+    const auto before = partition.engines_for(milliseconds(80)).size();
+    demands[1].work = 1.05;
+    partition.update(make_engines(12), demands);
+    BOOST_TEST(partition.engines_for(milliseconds(80)).size() == before);
+    demands[1].work = 5.0;
+    partition.update(make_engines(12), demands);
+    BOOST_TEST(partition.engines_for(milliseconds(80)).size() < before);
+}
+
+BOOST_AUTO_TEST_CASE(gives_all_engines_to_all_when_there_are_fewer_than_kinds)
+{
+    engine_partition partition;
+    const std::vector<stream_demand> demands = {{milliseconds(80), 1.0}, {milliseconds(330), 1.0}};
+    partition.update(make_engines(1), demands);
+    BOOST_TEST(partition.engines_for(milliseconds(80)).size() == 1U);
+    BOOST_TEST(partition.engines_for(milliseconds(330)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_load_ledger)
+
+BOOST_AUTO_TEST_CASE(ignores_reports_that_are_older_than_the_last)
+{
+    load_ledger ledger;
+    ledger.on_report({"b", 1, 5, 1, {{"e", upstream_load{3, 1, 100}}}, {}}, start);
+    ledger.on_report({"b", 1, 4, 1, {{"e", upstream_load{9, 9, 900}}}, {}}, start);
+    BOOST_TEST(ledger.at("e").in_flight == 3U);
+    // A restarted daemon counts anew.
+    ledger.on_report({"b", 2, 1, 1, {{"e", upstream_load{1, 0, 0}}}, {}}, start);
+    BOOST_TEST(ledger.at("e").in_flight == 1U);
+    ledger.expire(start + load_ledger::report_lifetime);
+    BOOST_TEST(ledger.at("e").in_flight == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_table_follower)
+
+BOOST_AUTO_TEST_CASE(lists_all_pages_then_follows_from_the_first_pages_version)
+{
+    table_follower follower("servers", 1);
+    BOOST_TEST((follower.next_call().what == table_read::kind::listing));
+    auto progress = follower.on_page({{row("a", "1", 3)}, 10, true}, start);
+    BOOST_TEST(!progress.whole);
+    BOOST_TEST(follower.next_call().from_key == std::string("a\0", 2));
+    progress = follower.on_page({{row("b", "2", 4)}, 12, false}, start);
+    BOOST_TEST(progress.whole);
+    BOOST_TEST(progress.changes.size() == 2U);
+    BOOST_TEST((follower.next_call().what == table_read::kind::changes));
+    BOOST_TEST(follower.next_call().after_version == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_again_when_the_history_is_gone)
+{
+    table_follower follower("servers", 1);
+    follower.on_page({{}, 10, false}, start);
+    follower.on_no_page(read_result::history_gone, start);
+    BOOST_TEST((follower.next_call().what == table_read::kind::listing));
+    BOOST_TEST(follower.reachable());
+}
+
+BOOST_AUTO_TEST_CASE(waits_longer_after_each_failure_and_tells_of_loss_and_return_once)
+{
+    table_follower follower("op", 1);
+    follower.on_page({{}, 10, false}, start);
+    BOOST_TEST(follower.on_no_page(read_result::failed, start).lost);
+    BOOST_TEST(!follower.on_no_page(read_result::failed, start).lost);
+    BOOST_TEST((follower.next_at() > start));
+    BOOST_TEST((follower.next_at() <= start + seconds(1)));
+    // The first call after a failure does not wait for a change, so that the return is known at once.
+    BOOST_TEST(follower.next_call().wait.count() == 0);
+    BOOST_TEST(follower.on_page({{}, 11, false}, start + seconds(1)).regained);
+    BOOST_TEST(follower.next_call().wait.count() > 0);
+    BOOST_TEST(follower.next_call().after_version == 11U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_directory_of_upstreams)
+
+BOOST_AUTO_TEST_CASE(ends_the_grace_of_a_missing_entry_on_time)
+{
+    upstream_directory directory;
+    upstream_record record;
+    record.id = "u";
+    record.service = "s";
+    directory.put(record);
+    directory.directory_lost();
+    directory.directory_returned(start);
+    directory.erase("u", start + milliseconds(100));
+    BOOST_TEST(directory.usable("s", start + milliseconds(2100)).size() == 1U);
+    BOOST_TEST(directory.usable("s", start + upstream_directory::lapse_grace).empty());
+    // An entry that goes when nothing is in doubt has left.
+    directory.put(record);
+    directory.erase("u", start + seconds(10));
+    BOOST_TEST(directory.usable("s", start + seconds(10)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(upstream_health_as_seen_by_one_daemon)
+
+BOOST_AUTO_TEST_CASE(avoids_an_upstream_that_cannot_be_reached_and_forgives_it)
+{
+    upstream_health health;
+    health.unreachable("u", start);
+    health.unreachable("u", start);
+    BOOST_TEST(health.avoided("u", start));
+    BOOST_TEST(!health.avoided("u", start + seconds(6)));
+    BOOST_TEST(health.failure_share("u", start) > 0.3);
+    BOOST_TEST(health.failure_share("u", start + seconds(30)) < 0.01);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
