A session belongs to two engines; entries follow what the engines' prompt caches hold

Change: the first two engines of a session's rendezvous order serve it, a further one only beyond 400 ms of load; placements travel with the load reports.

--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 1;
+constexpr int layout = 2;
 
 } // namespace
 
@@ -22,13 +22,17 @@
     for (const auto& each : report.demands) {
         demands.push_back({each.step_tolerance.count(), static_cast<float>(each.work)});
     }
+    json placements = json::array();
+    for (const auto& each : report.placements) {
+        placements.push_back({each.upstream, each.part, each.tokens});
+    }
     json spread = json::array();
     for (const auto& each : items) {
         spread.push_back({each.kind, each.key, each.value, each.lifetime.count()});
     }
     const json document = {
         layout,  report.daemon, report.incarnation, report.sequence, report.configuration_version, loads,
-        demands, spread};
+        demands, spread,        placements};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -56,6 +60,10 @@
         for (const auto& each : document.at(6)) {
             report.demands.push_back({duration(each.at(0).get<duration::rep>()), each.at(1).get<double>()});
         }
+        for (const auto& each : document.at(8)) {
+            report.placements.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint64_t>(),
+                                         each.at(2).get<std::uint32_t>()});
+        }
         for (const auto& each : document.at(7)) {
             soft_item item;
             item.origin = report.daemon;
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "routing/prompt_cache_view.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,7 @@
     std::uint64_t configuration_version{0};
     std::vector<std::pair<std::string, upstream_load>> loads; ///< By upstream id.
     std::vector<stream_demand> demands;
+    std::vector<part_placement> placements; ///< Since the report before.
 };
 
 /// The load of every upstream as the sum of this daemon's own work and the latest reports of the others. A
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -24,6 +24,10 @@
 /// Step tolerance of generations that promise no gap.
 constexpr duration any_gap = seconds(10);
 constexpr duration first_service_time = milliseconds(50);
+/// Running requests take the larger part of an engine's memory under load; cached parts have the rest.
+constexpr std::uint64_t cache_share_divisor = 2;
+/// Keeps a report within a datagram.
+constexpr std::size_t most_reported_placements = 40;
 constexpr int service_time_smoothing = 16;
 constexpr std::uint8_t most_urgency = 9;
 
@@ -173,7 +177,7 @@
 
 upstream_choice request_router::choose(const routed_request& request)
 {
-    const choice_view view{ledger_, health_, settings_.zone, request.tried, now_};
+    const choice_view view{ledger_, health_, caches_, settings_.zone, request.tried, now_};
     if (!request.is_generation()) {
         const auto upstreams = directory_.usable(request.service, now_);
         const auto known = service_times_.find(request.service);
@@ -207,9 +211,12 @@
     request.upstream = choice.upstream;
     request.prefill_tokens = request.is_generation() ? choice.prefill_tokens : 0;
     request.first_event = false;
+    request.sent_at = now_;
+    request.expected_wait = choice.expected_wait;
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     ledger_.add(choice.upstream->id, request.prefill_tokens);
+    note_placement(request);
     send_request action;
     action.request = request.number;
     action.upstream = choice.upstream;
@@ -224,12 +231,26 @@
     log("request.sent", request,
         "send " + std::to_string(request.sends) + " wait_ms " +
             std::to_string(to_milliseconds(choice.expected_wait)) + " prefill " +
-            std::to_string(choice.prefill_tokens) + (choice.holds_session ? " owner" : "") + " left_ms " +
-            std::to_string(to_milliseconds(time_left)));
+            std::to_string(choice.prefill_tokens) + " reread " + std::to_string(choice.reread_tokens) +
+            " left_ms " + std::to_string(to_milliseconds(time_left)));
     schedule(request);
     return true;
 }
 
+void request_router::note_placement(const routed_request& request)
+{
+    if (request.prompt.parts.size() < 2) {
+        return;
+    }
+    for (const auto& part : std::span(request.prompt.parts).first(request.prompt.parts.size() - 1)) {
+        part_placement placement{request.upstream->id, part.id, part.tokens};
+        caches_.placed(placement, now_);
+        if (unreported_placements_.size() < most_reported_placements) {
+            unreported_placements_.push_back(std::move(placement));
+        }
+    }
+}
+
 void request_router::schedule(routed_request& request)
 {
     timers_.cancel(request.timer);
@@ -377,6 +398,7 @@
     }
     auto& request = found->second;
     request.first_event = true;
+    request.first_event_after = now_ - request.sent_at;
     ledger_.prefill_done(request.upstream->id, request.prefill_tokens);
     request.prefill_tokens = 0;
 }
@@ -402,7 +424,9 @@
             smoothed += (now_ - request.arrived - smoothed) / service_time_smoothing;
         }
     }
-    log("request.completed", request, "total_ms " + std::to_string(to_milliseconds(now_ - request.arrived)));
+    log("request.completed", request,
+        "total_ms " + std::to_string(to_milliseconds(now_ - request.arrived)) + " first_ms " +
+            std::to_string(to_milliseconds(request.first_event_after)));
     release(request);
     finish(request);
 }
@@ -454,6 +478,7 @@
 
 void request_router::process_gone(std::string_view upstream)
 {
+    caches_.forget(upstream);
     for (auto& item : crashes_.process_gone(upstream, now_)) {
         actions_.emplace_back(spread_item{std::move(item)});
     }
@@ -522,6 +547,9 @@
 
 void request_router::on(const load_reported& event)
 {
+    for (const auto& placement : event.report.placements) {
+        caches_.placed(placement, now_);
+    }
     ledger_.on_report(event.report, now_);
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
@@ -538,6 +566,7 @@
     demands.insert(demands.end(), own.begin(), own.end());
     for (const auto& [name, each] : table_->services()) {
         if (each.engine) {
+            caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
             partitions_[name].update(directory_.usable(name, now_), demands);
         }
     }
@@ -548,6 +577,7 @@
     ledger_.expire(now_);
     health_.expire(now_);
     crashes_.expire(now_);
+    caches_.expire(now_);
     directory_.expire(now_);
     update_partitions();
     timers_.schedule(now_ + housekeeping_interval, [this](time_point) { housekeeping(); });
@@ -578,6 +608,8 @@
     result.configuration_version = table_ ? table_->version() : 0;
     result.loads = ledger_.own_loads();
     result.demands = demand_.demands(now);
+    result.placements = std::move(unreported_placements_);
+    unreported_placements_.clear();
     return result;
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -81,6 +81,7 @@
     void refuse(request_number number, std::string_view id, int status, result_code code,
                 std::optional<duration> retry_after, std::string detail);
     void log(std::string_view event, const routed_request& request, std::string detail);
+    void note_placement(const routed_request& request);
     void process_gone(std::string_view upstream);
     void update_partitions();
     std::size_t daemons() const;
@@ -97,6 +98,8 @@
     upstream_health health_;
     load_ledger ledger_;
     demand_meter demand_;
+    prompt_cache_view caches_;
+    std::vector<part_placement> unreported_placements_;
     crash_watch crashes_;
     std::map<std::string, engine_partition, std::less<>> partitions_;
     std::map<std::string, retry_budget, std::less<>> budgets_;
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -31,6 +31,9 @@
     upstream_ptr upstream; ///< Of the current send; nullptr without one.
     std::uint32_t prefill_tokens{0};
     bool first_event{false};
+    time_point sent_at;
+    duration first_event_after{0};  ///< From the send to the first event.
+    duration expected_wait{0};      ///< What the choice of the upstream expected.
     std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
     std::uint32_t sends{0};         ///< Sends that reached an upstream.
     std::uint32_t unreachable{0};
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -12,6 +12,13 @@
 constexpr double prefill_tokens_per_ms = 30.0;
 /// Reading a part again delays others besides this request, so it weighs more than its own time.
 constexpr double reread_weight = 2.0;
+/// Engines that a session may use freely, the first of its rendezvous order. With one, a loaded owner is left
+/// for any engine and the session's prompt is read all over the fleet; with two, the second takes what the
+/// first cannot.
+constexpr std::size_t session_engines = 2;
+/// What it costs to bring a session to a further engine, besides reading its prompt there: it is read there
+/// again and displaces others from that cache.
+constexpr duration further_engine_cost = milliseconds(400);
 /// What a running stream adds to the time of each token, over an answer of usual length.
 constexpr duration cost_per_stream = microseconds(1500);
 /// What a request that failed costs its caller, against waiting.
@@ -48,6 +55,26 @@
     }
 }
 
+using ranked_engine = std::pair<std::uint64_t, upstream_ptr>;
+
+/// The engines that can be used, the first `session_engines` of the session's rendezvous order in front.
+std::vector<ranked_engine> in_rendezvous_order(std::span<const upstream_ptr> engines,
+                                               const prompt_part* session, const choice_view& view)
+{
+    std::vector<ranked_engine> ranked;
+    ranked.reserve(engines.size());
+    for_each_usable(engines, view, [&](const upstream_ptr& each) {
+        ranked.emplace_back(session == nullptr ? 0 : hash64(each->id, session->id), each);
+    });
+    if (session != nullptr) {
+        const auto front =
+            ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), session_engines));
+        std::partial_sort(ranked.begin(), front, ranked.end(),
+                          [](const auto& left, const auto& right) { return left.first > right.first; });
+    }
+    return ranked;
+}
+
 } // namespace
 
 duration prefill_time(std::uint64_t tokens)
@@ -59,32 +86,25 @@
                               const choice_view& view)
 {
     const auto* session = prompt.session();
-    upstream_ptr owner;
-    if (session != nullptr) {
-        std::uint64_t best_score = 0;
-        for_each_usable(engines, view, [&](const upstream_ptr& each) {
-            const auto score = hash64(each->id, session->id);
-            if (!owner || score > best_score) {
-                owner = each;
-                best_score = score;
-            }
-        });
-    }
+    const auto ranked = in_rendezvous_order(engines, session, view);
     upstream_choice best;
     duration best_cost = duration::max();
-    for_each_usable(engines, view, [&](const upstream_ptr& each) {
+    for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+        const auto& each = ranked[rank].second;
         const auto load = view.load.at(each->id);
-        const bool holds_session = each == owner;
-        const auto reread = session == nullptr || holds_session ? 0U : session->tokens;
+        const bool is_owner = session == nullptr || rank == 0;
+        const auto missing =
+            is_owner ? 0U : std::min(session->tokens, view.caches.missing_tokens(each->id, prompt, view.now));
         const auto wait = prefill_time(load.prefill_tokens);
-        const auto cost = wait + scaled(prefill_time(reread), reread_weight) +
+        const auto cost = wait + scaled(prefill_time(missing), reread_weight) +
                           cost_per_stream * load.in_flight +
+                          (rank < session_engines ? duration::zero() : further_engine_cost) +
                           scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
-            best = {each, wait, prompt.own_tokens() + reread, holds_session};
+            best = {each, wait, prompt.own_tokens() + missing, missing};
         }
-    });
+    }
     return best;
 }
 
@@ -102,7 +122,7 @@
         if (cost < best_cost) {
             best_cost = cost;
             const double waiting = std::max(0.0, in_flight + 1 - slots);
-            best = {each, scaled(service_time, waiting / slots), 0, false};
+            best = {each, scaled(service_time, waiting / slots), 0, 0};
         }
     });
     return best;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -3,6 +3,7 @@
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
 #include "routing/prompt.h"
+#include "routing/prompt_cache_view.h"
 #include "routing/upstream_health.h"
 
 #include <span>
@@ -15,6 +16,7 @@
 struct choice_view {
     const load_ledger& load;
     const upstream_health& health;
+    const prompt_cache_view& caches;
     std::string_view zone;                 ///< Of this daemon.
     std::span<const std::string> excluded; ///< Ids that the request was sent to already.
     time_point now;
@@ -25,7 +27,7 @@
     upstream_ptr upstream; ///< nullptr when none can be used.
     duration expected_wait{0};
     std::uint32_t prefill_tokens{0}; ///< Tokens that the engine has to read for this request.
-    bool holds_session{false};       ///< Whether it is expected to have the session's part cached.
+    std::uint32_t reread_tokens{0};  ///< Those of them that belong to shared parts.
 };
 
 /// Time that an engine takes to read `tokens`.
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -1,5 +1,6 @@
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
+#include "routing/prompt_cache_view.h"
 #include "routing/retry_budget.h"
 #include "routing/route_table.h"
 #include "routing/table_follower.h"
@@ -136,11 +137,11 @@
 BOOST_AUTO_TEST_CASE(ignores_reports_that_are_older_than_the_last)
 {
     load_ledger ledger;
-    ledger.on_report({"b", 1, 5, 1, {{"e", upstream_load{3, 1, 100}}}, {}}, start);
-    ledger.on_report({"b", 1, 4, 1, {{"e", upstream_load{9, 9, 900}}}, {}}, start);
+    ledger.on_report({"b", 1, 5, 1, {{"e", upstream_load{3, 1, 100}}}, {}, {}}, start);
+    ledger.on_report({"b", 1, 4, 1, {{"e", upstream_load{9, 9, 900}}}, {}, {}}, start);
     BOOST_TEST(ledger.at("e").in_flight == 3U);
     // A restarted daemon counts anew.
-    ledger.on_report({"b", 2, 1, 1, {{"e", upstream_load{1, 0, 0}}}, {}}, start);
+    ledger.on_report({"b", 2, 1, 1, {{"e", upstream_load{1, 0, 0}}}, {}, {}}, start);
     BOOST_TEST(ledger.at("e").in_flight == 1U);
     ledger.expire(start + load_ledger::report_lifetime);
     BOOST_TEST(ledger.at("e").in_flight == 0U);
@@ -148,6 +149,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_view_of_prompt_caches)
+
+BOOST_AUTO_TEST_CASE(counts_what_is_missing_from_the_first_part_that_an_engine_lacks)
+{
+    prompt_cache_view caches;
+    caches.set_capacity(2000);
+    prompt_facts prompt;
+    prompt.parts = {{1, 500}, {2, 300}, {99, 50}};
+    BOOST_TEST(caches.missing_tokens("e", prompt, start) == 800U);
+    caches.placed({"e", 2, 300}, start);
+    BOOST_TEST(caches.missing_tokens("e", prompt, start) == 800U);
+    caches.placed({"e", 1, 500}, start);
+    BOOST_TEST(caches.missing_tokens("e", prompt, start) == 0U);
+    // The least recently used yields.
+    caches.placed({"e", 3, 1300}, start);
+    BOOST_TEST(caches.missing_tokens("e", prompt, start) == 300U);
+    caches.forget("e");
+    BOOST_TEST(caches.missing_tokens("e", prompt, start) == 800U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_table_follower)
 
 BOOST_AUTO_TEST_CASE(lists_all_pages_then_follows_from_the_first_pages_version)
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -258,6 +258,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(lets_a_session_use_two_engines_before_any_other)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 12; ++i) {
+        arrive_generation("/draft/x", 42, 2000);
+        used.insert(sent_to());
+    }
+    BOOST_TEST(used.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(leaves_a_loaded_owner_for_an_idle_engine)
 {
     arrive_generation("/draft/x", 42, 40000);
@@ -297,7 +307,7 @@
     const auto owner = sent_to();
     give(request_completed{idle, false});
     load_reported told;
-    told.report = {"entry-2", 1, 1, 1, {{owner, upstream_load{9, 0, 90000}}}, {}};
+    told.report = {"entry-2", 1, 1, 1, {{owner, upstream_load{9, 0, 90000}}}, {}, {}};
     give(told);
     arrive_generation("/draft/x", 42, 1000);
     BOOST_TEST(sent_to() != owner);
