Engines by urgency and size; nothing is begun that cannot end; sections follow bursts

Change: requests carry an urgency by class, then by the tokens to read; a request is refused at once, with a time to come back, when it cannot end in the time that is left, by the pace learned from streams; sections start from the configuration, rise with the last second's demand and fall slowly, and scarce engines go to urgent kinds first; engines beyond their slots cost more.

--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 2;
+constexpr int layout = 4;
 
 } // namespace
 
@@ -20,7 +20,8 @@
     }
     json demands = json::array();
     for (const auto& each : report.demands) {
-        demands.push_back({each.step_tolerance.count(), static_cast<float>(each.work)});
+        demands.push_back({each.step_tolerance.count(), static_cast<float>(each.work),
+                           static_cast<float>(each.recent_work), each.urgency});
     }
     json placements = json::array();
     for (const auto& each : report.placements) {
@@ -58,7 +59,8 @@
                                                     each.at(3).get<std::uint32_t>()});
         }
         for (const auto& each : document.at(6)) {
-            report.demands.push_back({duration(each.at(0).get<duration::rep>()), each.at(1).get<double>()});
+            report.demands.push_back({duration(each.at(0).get<duration::rep>()), each.at(1).get<double>(),
+                                      each.at(2).get<double>(), each.at(3).get<std::uint8_t>()});
         }
         for (const auto& each : document.at(8)) {
             report.placements.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint64_t>(),
--- a/routing/demand_meter.h
+++ b/routing/demand_meter.h
@@ -11,15 +11,19 @@
 /// that it follows a burst within a second or two.
 class demand_meter {
 public:
-    static constexpr duration time_constant = milliseconds(2500); ///< Shorter than the swings of the traffic.
+    static constexpr duration slow_time_constant =
+        milliseconds(2500); ///< Shorter than the swings of the traffic.
+    static constexpr duration fast_time_constant = milliseconds(900); ///< Some hundred requests of a fleet.
 
-    void on_request(duration step_tolerance, duration engine_time, time_point now);
+    void on_request(duration step_tolerance, std::uint8_t urgency, duration engine_time, time_point now);
     std::vector<stream_demand> demands(time_point now);
 
 private:
     struct decaying_sum {
-        double seconds{0}; ///< Engine seconds within about `time_constant`.
+        double slow{0}; ///< Engine seconds within about `slow_time_constant`.
+        double fast{0}; ///< Engine seconds within about `fast_time_constant`.
         time_point at{};
+        std::uint8_t urgency{UINT8_MAX};
     };
     static void decay(decaying_sum& sum, time_point now);
 
--- a/routing/engine_partition.cpp
+++ b/routing/engine_partition.cpp
@@ -11,29 +11,55 @@
 /// Demand of a kind that was seen, in engine seconds per second, however little it asked for lately.
 constexpr double least_demand = 0.01;
 
-std::map<duration, double> sum_by_tolerance(std::span<const stream_demand> demands)
+/// Part of an engine's time that may be wanted of it for its streams to stay on time.
+constexpr double target_use = 0.7;
+
+struct kind_demand {
+    double work{0};
+    double recent_work{0};
+    std::uint8_t urgency{UINT8_MAX};
+};
+using kind_demands = std::map<duration, kind_demand>;
+
+kind_demands sum_by_tolerance(std::span<const stream_demand> demands)
 {
-    std::map<duration, double> sums;
+    kind_demands sums;
     for (const auto& each : demands) {
-        sums[each.step_tolerance] += each.work;
+        auto& sum = sums[each.step_tolerance];
+        sum.work += each.work;
+        sum.recent_work += each.recent_work;
+        sum.urgency = std::min(sum.urgency, each.urgency);
     }
-    for (auto& [tolerance, work] : sums) {
-        work = std::max(work, least_demand);
+    for (auto& [tolerance, sum] : sums) {
+        sum.work = std::max({sum.work, sum.recent_work, least_demand});
     }
     return sums;
 }
 
 /// Fractional engines of each kind, one at least, in all `engines`.
-std::vector<double> ideal_sizes(const std::map<duration, double>& sums, std::size_t engines)
+std::vector<double> ideal_sizes(const kind_demands& sums, std::size_t engines)
 {
-    const auto spare = static_cast<double>(engines - sums.size());
     double total = 0;
-    for (const auto& [tolerance, work] : sums) {
-        total += work;
+    std::vector<std::pair<std::uint8_t, std::size_t>> by_urgency;
+    std::vector<double> wanted;
+    for (const auto& [tolerance, sum] : sums) {
+        by_urgency.emplace_back(sum.urgency, wanted.size());
+        wanted.push_back(sum.work);
+        total += sum.work;
+    }
+    double spare = static_cast<double>(engines - sums.size());
+    std::vector<double> sizes(sums.size(), 1.0);
+    if (total / target_use <= static_cast<double>(engines)) {
+        for (std::size_t i = 0; i < sizes.size(); ++i) {
+            sizes[i] += spare * wanted[i] / total;
+        }
+        return sizes;
     }
-    std::vector<double> sizes;
-    for (const auto& [tolerance, work] : sums) {
-        sizes.push_back(1 + spare * work / total);
+    std::sort(by_urgency.begin(), by_urgency.end());
+    for (const auto& [urgency, kind] : by_urgency) {
+        const double more = std::min(spare, std::max(0.0, wanted[kind] / target_use - 1));
+        sizes[kind] += more;
+        spare -= more;
     }
     return sizes;
 }
--- a/routing/engine_partition.h
+++ b/routing/engine_partition.h
@@ -13,7 +13,8 @@
 
 /// Divides the engines of a service between streams that tolerate different times for a token. A long prompt
 /// is read in chunks between the tokens of the other requests of its engine, so streams with short gaps are
-/// kept away from long prompts. Each kind gets engines in proportion to its demand, one at least.
+/// kept away from long prompts. Each kind gets engines in proportion to its demand, one at least; when there
+/// are too few for all, the more urgent kinds get what they need first.
 ///
 /// The engines stand in an order that depends on their ids only, tight streams take theirs from its start.
 /// Daemons that see about the same demand therefore choose about the same engines without an agreement;
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -24,7 +24,9 @@
 /// The wanted work of streams that tolerate the same time for one token.
 struct stream_demand {
     duration step_tolerance{0};
-    double work{0}; ///< Engine seconds per second.
+    double work{0};          ///< Engine seconds per second, over a few seconds.
+    double recent_work{0};   ///< The same over the last second.
+    std::uint8_t urgency{0}; ///< Of the most urgent of them; 0 goes first.
 };
 
 /// What one daemon tells the others of its own work.
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 
 #include <algorithm>
+#include <array>
 
 namespace clementinegap {
 namespace {
@@ -35,6 +36,18 @@
     using visitors::operator()...;
 };
 
+/// Engines admit and read requests by urgency, from 0 to 9. Within a class short prompts go before long ones,
+/// so that many do not wait behind one; a class always goes before the next.
+std::uint8_t engine_urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens)
+{
+    constexpr std::array<std::uint32_t, 3> size_steps = {2000, 5000,
+                                                         12000}; ///< Tokens to read; one, two, six chunks.
+    const auto size = std::count_if(size_steps.begin(), size_steps.end(),
+                                    [&](std::uint32_t step) { return prefill_tokens > step; });
+    constexpr auto sizes = static_cast<std::ptrdiff_t>(size_steps.size() + 1);
+    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(most_urgency, class_urgency * sizes + size));
+}
+
 bool certainly_not_run(send_fault fault)
 {
     return fault == send_fault::unreachable || fault == send_fault::not_run ||
@@ -139,7 +152,7 @@
                                                   request.table->find_service(request.service)->engine
                                               ? request.table->find_service(request.service)->engine->slots
                                               : 1);
-        demand_.on_request(request.step_tolerance, engine_time, now_);
+        demand_.on_request(request.step_tolerance, request.way->priority, engine_time, now_);
     }
     auto& stored = requests_[event.request] = std::move(request);
     if (!try_send(stored)) {
@@ -208,11 +221,23 @@
     if (!choice.upstream || choice.expected_wait > time_left) {
         return false;
     }
+    if (request.is_generation()) {
+        const auto needed = pace_.needed(request.service, request.step_tolerance,
+                                         choice.expected_wait + prefill_time(choice.prefill_tokens),
+                                         request.prompt.expected_output());
+        if (needed > time_left) {
+            // It would take time from requests that can end, and end for nothing itself.
+            log("request.cannot_end", request,
+                "needs_ms " + std::to_string(to_milliseconds(needed)) + " left_ms " +
+                    std::to_string(to_milliseconds(time_left)));
+            return false;
+        }
+    }
     request.upstream = choice.upstream;
     request.prefill_tokens = request.is_generation() ? choice.prefill_tokens : 0;
     request.first_event = false;
     request.sent_at = now_;
-    request.expected_wait = choice.expected_wait;
+    request.expected_start = choice.expected_wait + prefill_time(choice.prefill_tokens);
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     ledger_.add(choice.upstream->id, request.prefill_tokens);
@@ -222,7 +247,8 @@
     action.upstream = choice.upstream;
     action.time_left = time_left;
     action.workspace = request.workspace;
-    action.urgency = request.urgency;
+    action.urgency =
+        request.is_generation() ? engine_urgency(request.urgency, choice.prefill_tokens) : request.urgency;
     action.is_generation = request.is_generation();
     action.is_stream = request.way->is_stream;
     action.repeatable = request.way->repeat != repeat_rule::once;
@@ -410,6 +436,11 @@
         return;
     }
     auto& request = found->second;
+    if (request.upstream && request.is_generation() && !event.upstream_failed && request.sends == 1) {
+        pace_.stream_ended(request.service, request.step_tolerance, request.expected_start,
+                           request.first_event_after, now_ - request.sent_at - request.first_event_after,
+                           request.prompt.expected_output());
+    }
     if (request.upstream) {
         if (event.upstream_failed) {
             health_.failed(request.upstream->id, now_);
@@ -491,6 +522,11 @@
     }
     const bool first = table_ == nullptr;
     table_ = event.table;
+    expected_kinds_.clear();
+    for (const auto& way : table_->streams()) {
+        expected_kinds_.push_back(
+            {step_tolerance(way.get(), way.get().targets.front().service), 0, 0, way.get().priority});
+    }
     actions_.emplace_back(log_decision{"configuration.in_force", "", "",
                                        "version " + std::to_string(table_->version()) + " routes " +
                                            std::to_string(table_->route_count())});
@@ -564,6 +600,7 @@
     auto demands = ledger_.demands_of_others();
     const auto own = demand_.demands(now_);
     demands.insert(demands.end(), own.begin(), own.end());
+    demands.insert(demands.end(), expected_kinds_.begin(), expected_kinds_.end());
     for (const auto& [name, each] : table_->services()) {
         if (each.engine) {
             caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -3,6 +3,7 @@
 #include "core/timer_service.h"
 #include "routing/crash_watch.h"
 #include "routing/demand_meter.h"
+#include "routing/engine_pace.h"
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
 #include "routing/retry_budget.h"
@@ -99,10 +100,12 @@
     load_ledger ledger_;
     demand_meter demand_;
     prompt_cache_view caches_;
+    std::vector<stream_demand> expected_kinds_; ///< The kinds of the configuration, before any demand.
     std::vector<part_placement> unreported_placements_;
     crash_watch crashes_;
     std::map<std::string, engine_partition, std::less<>> partitions_;
     std::map<std::string, retry_budget, std::less<>> budgets_;
+    engine_pace pace_;
     std::map<std::string, duration, std::less<>> service_times_; ///< Smoothed time of a plain request.
     std::unordered_map<request_number, routed_request> requests_;
     std::vector<router_action> actions_;
--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -49,6 +49,19 @@
     return result;
 }
 
+std::vector<std::reference_wrapper<const route>> route_table::streams() const
+{
+    std::vector<std::reference_wrapper<const route>> result;
+    for (const auto& [host, routes] : routes_by_host_) {
+        for (const auto& each : routes) {
+            if (each.is_stream) {
+                result.emplace_back(each);
+            }
+        }
+    }
+    return result;
+}
+
 const service* route_table::find_service(std::string_view name) const
 {
     const auto found = services_.find(name);
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -94,6 +95,8 @@
     lookup find(std::string_view host, std::string_view path, std::string_view api_key) const;
     const service* find_service(std::string_view name) const;
     const std::map<std::string, service, std::less<>>& services() const { return services_; }
+    /// The routes whose answers are streams.
+    std::vector<std::reference_wrapper<const route>> streams() const;
     std::size_t route_count() const { return route_count_; }
 
 private:
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -21,6 +21,8 @@
 constexpr duration further_engine_cost = milliseconds(400);
 /// What a running stream adds to the time of each token, over an answer of usual length.
 constexpr duration cost_per_stream = microseconds(1500);
+/// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
+constexpr duration full_engine_cost = milliseconds(40);
 /// What a request that failed costs its caller, against waiting.
 constexpr duration cost_of_failure = seconds(2);
 /// Loads within this of the best count as equal, in requests per slot.
@@ -98,6 +100,7 @@
         const auto wait = prefill_time(load.prefill_tokens);
         const auto cost = wait + scaled(prefill_time(missing), reread_weight) +
                           cost_per_stream * load.in_flight +
+                          full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
                           (rank < session_engines ? duration::zero() : further_engine_cost) +
                           scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -38,7 +38,7 @@
 
 BOOST_AUTO_TEST_CASE(come_back_as_they_were_and_survive_damage)
 {
-    load_report report{"d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5}}, {{"u", 77, 300}}};
+    load_report report{"d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5, 0, 0}}, {{"u", 77, 300}}};
     soft_item item;
     item.kind = "poison";
     item.key = "k";
--- a/tests/routing/router_fixture.cpp
+++ b/tests/routing/router_fixture.cpp
@@ -34,8 +34,8 @@
 {
     give(configuration_received{table(1)});
     directory_listed listing;
-    for (const auto* id : {"e1", "e2", "e3", "e4"}) {
-        listing.records.push_back(upstream(id, "llm"));
+    for (int engine = 1; engine <= 12; ++engine) {
+        listing.records.push_back(upstream("e" + std::to_string(engine), "llm"));
     }
     listing.records.push_back(upstream("p1", "app"));
     listing.records.push_back(upstream("p2", "app", "z2"));
@@ -79,7 +79,7 @@
     record.service = service;
     record.address = {"10.0.0.1", 80};
     record.zone = zone;
-    record.slots = 6;
+    record.slots = service == "llm" ? 64 : 6;
     record.incarnation = 1;
     return record;
 }
--- a/tests/routing/router_fixture.h
+++ b/tests/routing/router_fixture.h
@@ -11,7 +11,7 @@
 
 inline constexpr time_point start{seconds(1000)};
 
-/// A router with a small deployment: engines `e1`..`e4` of service "llm", plain upstreams `p1`, `p2` of
+/// A router with a small deployment: engines `e1`..`e12` of service "llm", plain upstreams `p1`, `p2` of
 /// service "app", one route of each kind on host "h".
 class router_fixture {
 public:
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -95,7 +95,7 @@
 {
     engine_partition partition;
     const std::vector<stream_demand> demands = {
-        {milliseconds(80), 0.5}, {milliseconds(130), 1.0}, {milliseconds(330), 6.0}};
+        {milliseconds(80), 0.5, 0, 0}, {milliseconds(130), 1.0, 0, 0}, {milliseconds(330), 6.0, 0, 0}};
     partition.update(make_engines(12), demands);
     BOOST_TEST(partition.engines_for(milliseconds(80)).size() >= 1U);
     BOOST_TEST(partition.engines_for(milliseconds(330)).size() >= 7U);
@@ -110,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(follows_a_burst_and_ignores_small_differences)
 {
     engine_partition partition;
-    std::vector<stream_demand> demands = {{milliseconds(80), 1.0}, {milliseconds(330), 1.0}};
+    std::vector<stream_demand> demands = {{milliseconds(80), 1.0, 0, 0}, {milliseconds(330), 1.0, 0, 0}};
     partition.update(make_engines(12), demands);
     const auto before = partition.engines_for(milliseconds(80)).size();
     demands[1].work = 1.05;
@@ -124,7 +124,8 @@
 BOOST_AUTO_TEST_CASE(gives_all_engines_to_all_when_there_are_fewer_than_kinds)
 {
     engine_partition partition;
-    const std::vector<stream_demand> demands = {{milliseconds(80), 1.0}, {milliseconds(330), 1.0}};
+    const std::vector<stream_demand> demands = {{milliseconds(80), 1.0, 0, 0},
+                                                {milliseconds(330), 1.0, 0, 0}};
     partition.update(make_engines(1), demands);
     BOOST_TEST(partition.engines_for(milliseconds(80)).size() == 1U);
     BOOST_TEST(partition.engines_for(milliseconds(330)).size() == 1U);
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -301,6 +301,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(reads_short_prompts_first_within_a_class_and_never_before_a_more_urgent_class)
+{
+    arrive_generation("/draft/x", 1, 1000);
+    const auto small = one<send_request>()->urgency;
+    arrive_generation("/draft/x", 2, 20000);
+    BOOST_TEST(one<send_request>()->urgency > small);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_begin_what_cannot_end_in_time)
+{
+    request_arrived event;
+    event.host = "h";
+    event.path = "/draft/x";
+    event.api_key = "key-a";
+    event.deadline = milliseconds(900);
+    event.prompt.tokens_in = 30000;
+    event.prompt.tokens_out_limit = 50;
+    event.prompt.parts = {{1, 100}, {2, 29900}};
+    event.request = ++last;
+    give(event);
+    BOOST_TEST(sent_to().empty());
+    BOOST_REQUIRE(one<answer_caller>().has_value());
+    BOOST_TEST(one<answer_caller>()->status == 503);
+    BOOST_TEST(one<answer_caller>()->retry_after.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(counts_the_work_that_other_daemons_report)
 {
     const auto idle = arrive_generation("/draft/x", 42, 1000);
