Metrics of the entry daemon; a settings file that changes silently is noticed

Cause: counters and latency histograms were asked for and missing; the settings may change without a signal. Change: the metrics class that stands counts events, requests by route and code, and latencies, served beside the readiness probe; the settings file is read once a second and a changed one taken over, the store's address included.

--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -4,9 +4,9 @@
 
 namespace clementinegap {
 
-entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log,
+entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log, metrics& counters,
                              std::function<void(soft_item)> spread)
-    : loop_(loop), router_(router), log_(log), spread_(std::move(spread)), pool_(loop),
+    : loop_(loop), router_(router), log_(log), counters_(counters), spread_(std::move(spread)), pool_(loop),
       listener_(loop, [this](uv_stream_t* listening) { on_connection(listening); })
 {
 }
@@ -91,6 +91,27 @@
     }
 }
 
+void entry_gateway::apply(const log_decision& action)
+{
+    counters_.event_counted(action.event);
+    log_.write(action);
+}
+
+void entry_gateway::apply(const measure_request& action)
+{
+    const auto in_seconds = [](duration value) { return std::chrono::duration<double>(value).count(); };
+    measured_request measured;
+    measured.class_name = action.route;
+    measured.code = describe(action.code).name;
+    measured.tier = action.urgency;
+    measured.ok = action.code == result_code::ok;
+    measured.target_met = action.on_time;
+    measured.first_token = in_seconds(action.first_event);
+    measured.total = in_seconds(action.total);
+    measured.dispatches = action.sends;
+    counters_.request_ended(measured);
+}
+
 exchange* entry_gateway::find(request_number number)
 {
     const auto found = exchanges_.find(number);
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/tcp_connection.h"
+#include "observability/metrics.h"
 #include "router/decision_log.h"
 #include "router/exchange.h"
 #include "router/upstream_pool.h"
@@ -19,7 +20,7 @@
 /// carries out its actions.
 class entry_gateway final : public exchange::owner, public http_server_connection::handler {
 public:
-    entry_gateway(event_loop& loop, request_router& router, decision_log& log,
+    entry_gateway(event_loop& loop, request_router& router, decision_log& log, metrics& counters,
                   std::function<void(soft_item)> spread);
     ~entry_gateway() override;
     entry_gateway(const entry_gateway&) = delete;
@@ -65,12 +66,14 @@
     void apply(const pass_failure& action);
     void apply(const cut_caller& action);
     void apply(const stop_send& action);
-    void apply(const log_decision& action) { log_.write(action); }
+    void apply(const log_decision& action);
+    void apply(const measure_request& action);
     void apply(const spread_item& action) { spread_(action.item); }
 
     event_loop& loop_;
     request_router& router_;
     decision_log& log_;
+    metrics& counters_;
     std::function<void(soft_item)> spread_;
     upstream_pool pool_;
     tcp_listener listener_;
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view fleet_table = "daemons";
 /// Time between the end of the last request and the kill that ends a slow stop.
 constexpr duration stop_margin = milliseconds(500);
+/// The settings file may change without a signal.
+constexpr duration settings_check_interval = seconds(1);
 /// The platform takes a daemon out of rotation after two missed probes, one a second.
 constexpr duration rotation_time = milliseconds(2600);
 
@@ -65,7 +67,7 @@
       peers_(
           loop_, [this](load_reported report) { gateway_.post(std::move(report)); },
           [this](const std::string& why) { log_.warn("peer.bad_report", why); }),
-      gateway_(loop_, router_, log_, [this](soft_item item) { peers_.spread(std::move(item)); }),
+      gateway_(loop_, router_, log_, counters_, [this](soft_item item) { peers_.spread(std::move(item)); }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
       configuration_(loop_, settings_.store_address, std::string(configuration_table), incarnation_,
                      [this](table_follower::progress progress) { on_configuration(std::move(progress)); }),
@@ -119,6 +121,7 @@
         log_.flush(now);
         next_sweep_ = now + entry_gateway::sweep_interval;
     }
+    reload_if_changed(now);
     continue_stop(now);
     schedule();
 }
@@ -204,11 +207,20 @@
     peers_.set_peers(std::move(others));
 }
 
-probe_server::answer entry_process::probe(std::string_view path) const
+probe_server::answer entry_process::probe(std::string_view path)
 {
     if (path == platform_names::readiness_path) {
         return {router_.is_ready() ? 200 : 503, "text/plain", router_.is_ready() ? "ready\n" : "not ready\n"};
     }
+    if (path == settings_.metrics_path) {
+        counters_.set("clementinegap_requests_open", static_cast<double>(router_.open_requests()));
+        counters_.set("clementinegap_members", static_cast<double>(router_.loads().reporting_daemons() + 1));
+        counters_.set("clementinegap_draining", router_.draining() ? 1 : 0);
+        const auto* table = router_.table();
+        counters_.set("clementinegap_configuration_version",
+                      table == nullptr ? 0 : static_cast<double>(table->version()));
+        return {200, "text/plain; version=0.0.4", counters_.text()};
+    }
     return {404, "text/plain", "not found\n"};
 }
 
@@ -234,6 +246,23 @@
     }
 }
 
+void entry_process::reload_if_changed(time_point now)
+{
+    if (now < next_settings_check_) {
+        return;
+    }
+    next_settings_check_ = now + settings_check_interval;
+    const auto text = settings_file_text(settings_file_);
+    if (!text || text.value() == settings_text_) {
+        return;
+    }
+    const bool first = settings_text_.empty();
+    settings_text_ = text.value();
+    if (!first) {
+        reload();
+    }
+}
+
 void entry_process::reload()
 {
     const auto fresh = entry_settings_from_file(settings_file_);
@@ -241,9 +270,16 @@
         log_.warn("daemon.reload_refused", fresh.error().message);
         return;
     }
-    // Addresses and names are those of this process for its life; only the stop may change.
-    settings_.stop_grace = fresh.value().stop_grace;
-    log_.info("daemon.reloaded", settings_file_);
+    const auto& next = fresh.value();
+    settings_.stop_grace = next.stop_grace;
+    if (!(next.store_address == settings_.store_address)) {
+        settings_.store_address = next.store_address;
+        configuration_.set_store(next.store_address);
+        directory_.set_store(next.store_address);
+        fleet_.set_store(next.store_address);
+    }
+    // The addresses that this process listens at are its own for its life.
+    log_.info("daemon.reloaded", "store " + address_text(settings_.store_address));
 }
 
 } // namespace clementinegap
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -29,10 +29,11 @@
     void on_directory(table_follower::progress progress);
     void on_fleet(table_follower::progress progress);
     void take_configuration(const table_row& row);
-    probe_server::answer probe(std::string_view path) const;
+    probe_server::answer probe(std::string_view path);
     void begin_stop();
     void continue_stop(time_point now);
     void reload();
+    void reload_if_changed(time_point now);
     void wake();
     void schedule();
 
@@ -41,6 +42,7 @@
     std::uint64_t incarnation_;
     event_loop loop_;
     decision_log log_;
+    metrics counters_;
     request_router router_;
     peer_link peers_;
     entry_gateway gateway_;
@@ -50,6 +52,8 @@
     table_reader fleet_;
     row_writer registration_;
     std::map<std::string, endpoint> fleet_rows_;
+    std::string settings_text_;
+    time_point next_settings_check_{};
     time_point next_sweep_{};
     time_point next_report_{};
     time_point stop_begun_{never};
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -63,7 +63,7 @@
     return result;
 }
 
-outcome<entry_settings> entry_settings_from_file(const std::string& path)
+outcome<std::string> settings_file_text(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
     if (!file) {
@@ -71,7 +71,16 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    return entry_settings_from_text(text.str());
+    return std::move(text).str();
+}
+
+outcome<entry_settings> entry_settings_from_file(const std::string& path)
+{
+    const auto text = settings_file_text(path);
+    if (!text) {
+        return text.error();
+    }
+    return entry_settings_from_text(text.value());
 }
 
 } // namespace clementinegap
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -30,6 +30,9 @@
 /// Reads and checks a whole settings text; `invalid_settings` with every fault, one a line.
 outcome<entry_settings> entry_settings_from_text(std::string_view text);
 
+/// The content of a settings file.
+outcome<std::string> settings_file_text(const std::string& path);
+
 /// Reads a file; a file that cannot be read is a fault like the others.
 outcome<entry_settings> entry_settings_from_file(const std::string& path);
 
--- a/router/store_link.cpp
+++ b/router/store_link.cpp
@@ -67,6 +67,13 @@
     connection_->start(encode_table_read(call, host_of(store_)), *this);
 }
 
+void table_reader::set_store(endpoint store)
+{
+    store_ = std::move(store);
+    drop_connection();
+    under_way_ = false;
+}
+
 http_client_connection::head_verdict table_reader::on_answer_head(const http_head& head)
 {
     status_ = head.status;
--- a/router/store_link.h
+++ b/router/store_link.h
@@ -25,6 +25,8 @@
 
     /// Makes the next call when it is due, gives up one that has lasted too long.
     void run(time_point now);
+    /// Calls another address from the next call on.
+    void set_store(endpoint store);
     /// When `run` is due.
     time_point due() const;
 
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -328,7 +328,7 @@
         actions_.emplace_back(
             answer_caller{number, 503, result_code::deadline_expired, jittered(usual_return)});
     }
-    finish(request);
+    finish(request, result_code::deadline_expired);
 }
 
 void request_router::on(const send_failed& event)
@@ -398,22 +398,23 @@
 
 void request_router::give_up(routed_request& request, send_fault fault, bool answer_begun)
 {
+    auto code = result_code::upstream_failed;
     if (answer_begun) {
+        code = result_code::answer_truncated;
         log("request.cut", request, std::string(to_string(fault)));
         actions_.emplace_back(cut_caller{request.number});
     } else if (fault == send_fault::failed_answer) {
         actions_.emplace_back(pass_failure{request.number});
     } else if (!request.may_have_run) {
+        code = request.sends == 0 ? result_code::no_upstream : result_code::overloaded;
         log("request.refused", request, std::string(to_string(fault)));
-        const auto code = request.sends == 0 ? result_code::no_upstream : result_code::overloaded;
         actions_.emplace_back(answer_caller{request.number, 503, code, jittered(usual_return)});
     } else {
+        code = fault == send_fault::bad_answer ? result_code::upstream_failed : result_code::upstream_lost;
         log("request.failed", request, std::string(to_string(fault)));
-        const auto code =
-            fault == send_fault::bad_answer ? result_code::upstream_failed : result_code::upstream_lost;
         actions_.emplace_back(answer_caller{request.number, 502, code, std::nullopt});
     }
-    finish(request);
+    finish(request, code);
 }
 
 void request_router::on(const first_event_seen& event)
@@ -459,7 +460,7 @@
         "total_ms " + std::to_string(to_milliseconds(now_ - request.arrived)) + " first_ms " +
             std::to_string(to_milliseconds(request.first_event_after)));
     release(request);
-    finish(request);
+    finish(request, event.upstream_failed ? result_code::upstream_failed : result_code::ok);
 }
 
 void request_router::on(const caller_left& event)
@@ -473,7 +474,7 @@
     if (request.upstream) {
         actions_.emplace_back(stop_send{event.request});
     }
-    finish(request);
+    finish(request, result_code::cancelled);
 }
 
 void request_router::release(routed_request& request)
@@ -486,8 +487,19 @@
     request.upstream = nullptr;
 }
 
-void request_router::finish(routed_request& request)
+void request_router::finish(routed_request& request, result_code code)
 {
+    measure_request measure;
+    measure.route = request.way->name;
+    measure.code = code;
+    measure.urgency = request.urgency;
+    measure.total = now_ - request.arrived;
+    measure.first_event = request.way->is_stream
+                              ? request.sent_at - request.arrived + request.first_event_after
+                              : measure.total;
+    measure.on_time = code == result_code::ok && measure.first_event <= request.way->objective;
+    measure.sends = request.sends;
+    actions_.emplace_back(std::move(measure));
     release(request);
     timers_.cancel(request.timer);
     requests_.erase(request.number);
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -78,7 +78,7 @@
     void give_up(routed_request& request, send_fault fault, bool answer_begun);
     void on_timer(request_number number);
     void schedule(routed_request& request);
-    void finish(routed_request& request);
+    void finish(routed_request& request, result_code code);
     void refuse(request_number number, std::string_view id, int status, result_code code,
                 std::optional<duration> retry_after, std::string detail);
     void log(std::string_view event, const routed_request& request, std::string detail);
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -33,7 +33,7 @@
     bool first_event{false};
     time_point sent_at;
     duration first_event_after{0};  ///< From the send to the first event.
-    duration expected_start{0}; ///< Until the first event, as expected when it was sent.
+    duration expected_start{0};     ///< Until the first event, as expected when it was sent.
     std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
     std::uint32_t sends{0};         ///< Sends that reached an upstream.
     std::uint32_t unreachable{0};
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -155,12 +155,23 @@
     std::string detail;
 };
 
+/// A request is over: what is counted of it.
+struct measure_request {
+    std::string route;
+    result_code code{result_code::ok}; ///< Of the router's own answer; `ok` when an upstream's was passed on.
+    std::uint8_t urgency{0};
+    bool on_time{false}; ///< Within the route's objective.
+    duration first_event{0};
+    duration total{0};
+    std::uint32_t sends{0};
+};
+
 /// Tell the other daemons.
 struct spread_item {
     soft_item item;
 };
 
-using router_action =
-    std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send, log_decision, spread_item>;
+using router_action = std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send,
+                                   log_decision, measure_request, spread_item>;
 
 } // namespace clementinegap
--- a/tests/router/gateway_fixture.cpp
+++ b/tests/router/gateway_fixture.cpp
@@ -59,7 +59,7 @@
     store.put("servers", "u1", upstream_text(upstream.port()));
     store.put("servers", "u2", upstream_text(other.port()));
     store.put("servers", "torn", R"({"service":"app","addr)");
-    gateway = std::make_unique<entry_gateway>(loop, router, log, [](const soft_item&) {});
+    gateway = std::make_unique<entry_gateway>(loop, router, log, counters, [](const soft_item&) {});
     gateway->listen({"127.0.0.1", 0});
     const endpoint address{"127.0.0.1", store.port()};
     configuration =
--- a/tests/router/gateway_fixture.h
+++ b/tests/router/gateway_fixture.h
@@ -60,6 +60,7 @@
 
     event_loop loop;
     decision_log log;
+    metrics counters;
     request_router router;
     routed_store store;
     routed_upstream upstream;
--- a/tests/router/test_gateway.cpp
+++ b/tests/router/test_gateway.cpp
@@ -57,6 +57,16 @@
     BOOST_TEST(upstream.connections() + other.connections() <= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(counts_what_it_did)
+{
+    call("/book/x");
+    call("/nowhere/x");
+    const auto text = counters.text();
+    BOOST_TEST(text.find("clementinegap_requests_total{class=\"book\",code=\"ok\"") != std::string::npos);
+    BOOST_TEST(text.find("clementinegap_request_seconds_count") != std::string::npos);
+    BOOST_TEST(text.find("kind=\"request.refused\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(reads_a_chunked_body)
 {
     const auto got =
