--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -255,10 +255,12 @@
     action.resumable = request.way->repeat == repeat_rule::resumable;
     actions_.emplace_back(std::move(action));
     log("request.sent", request,
-        "send " + std::to_string(request.sends) + " wait_ms " +
+        "route " + request.way->name + " configuration " + std::to_string(request.table->version()) +
+            " send " + std::to_string(request.sends) + " wait_ms " +
             std::to_string(to_milliseconds(choice.expected_wait)) + " prefill " +
             std::to_string(choice.prefill_tokens) + " reread " + std::to_string(choice.reread_tokens) +
-            " left_ms " + std::to_string(to_milliseconds(time_left)));
+            " left_ms " + std::to_string(to_milliseconds(time_left)) + " reports " +
+            std::to_string(ledger_.reporting_daemons()));
     schedule(request);
     return true;
 }
@@ -407,11 +409,13 @@
         actions_.emplace_back(pass_failure{request.number});
     } else if (!request.may_have_run) {
         code = request.sends == 0 ? result_code::no_upstream : result_code::overloaded;
-        log("request.refused", request, std::string(to_string(fault)));
+        log("request.refused", request,
+            request.sends + request.unreachable == 0 ? "503 no upstream can end it in time"
+                                                     : "503 after " + std::string(to_string(fault)));
         actions_.emplace_back(answer_caller{request.number, 503, code, jittered(usual_return)});
     } else {
         code = fault == send_fault::bad_answer ? result_code::upstream_failed : result_code::upstream_lost;
-        log("request.failed", request, std::string(to_string(fault)));
+        log("request.failed", request, "502 after " + std::string(to_string(fault)) + ", it may have run");
         actions_.emplace_back(answer_caller{request.number, 502, code, std::nullopt});
     }
     finish(request, code);
