A configuration travels between entries

Cause: an entry that the store turns away kept its old configuration until the store let it in. Test: a_daemon_that_the_store_turns_away.

--- /dev/null
+++ b/router/configuration_fetch.cpp
@@ -0,0 +1,42 @@
+#include "router/configuration_fetch.h"
+
+namespace clementinegap {
+
+configuration_fetch::~configuration_fetch()
+{
+    if (connection_) {
+        connection_->abandon();
+    }
+}
+
+void configuration_fetch::start(const endpoint& peer)
+{
+    if (connection_) {
+        connection_->abandon();
+    }
+    connection_ = std::make_shared<http_client_connection>(loop_, [] {});
+    text_.clear();
+    if (!connection_->connect(peer.ip, peer.port, silence_limits{})) {
+        return;
+    }
+    connection_->start("GET " + std::string(path) + " HTTP/1.1\r\nHost: " + peer.ip +
+                           "\r\nConnection: close\r\n\r\n",
+                       *this);
+}
+
+http_client_connection::head_verdict configuration_fetch::on_answer_head(const http_head& head)
+{
+    status_ = head.status;
+    return http_client_connection::head_verdict::take;
+}
+
+void configuration_fetch::on_answer_end(bool)
+{
+    constexpr int status_ok = 200;
+    if (status_ == status_ok) {
+        on_text_(std::move(text_));
+    }
+    text_.clear();
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/router/configuration_fetch.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/http_client_connection.h"
+#include "routing/upstream_record.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace clementinegap {
+
+/// Asks another entry daemon for the configuration that it has in force. One request at a time; a failed one
+/// is simply not followed by an answer, since the next report leads to another.
+class configuration_fetch final : private http_client_connection::exchange {
+public:
+    using callback = std::function<void(std::string text)>;
+
+    /// Where a daemon serves its configuration, at its peer address.
+    static constexpr std::string_view path = "/configuration";
+
+    configuration_fetch(event_loop& loop, callback on_text) : loop_(loop), on_text_(std::move(on_text)) {}
+    ~configuration_fetch() override;
+    configuration_fetch(const configuration_fetch&) = delete;
+    configuration_fetch& operator=(const configuration_fetch&) = delete;
+
+    void start(const endpoint& peer);
+
+private:
+    http_client_connection::head_verdict on_answer_head(const http_head& head) override;
+    void on_answer_bytes(std::string_view bytes) override { text_.append(bytes); }
+    void on_answer_end(bool reusable) override;
+    void on_exchange_failed(const exchange_failure&) override {}
+
+    event_loop& loop_;
+    callback on_text_;
+    std::shared_ptr<http_client_connection> connection_;
+    int status_{0};
+    std::string text_;
+};
+
+} // namespace clementinegap
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -65,10 +65,18 @@
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)), incarnation_(start_stamp()),
       log_(settings_.vm, settings_.log_level), router_(router_settings_of(settings_, incarnation_)),
       peers_(
-          loop_, [this](load_reported report) { gateway_.post(std::move(report)); },
+          loop_, [this](load_reported report) { on_report(std::move(report)); },
           [this](const std::string& why) { log_.warn("peer.bad_report", why); }),
       gateway_(loop_, router_, log_, counters_, [this](soft_item item) { peers_.spread(std::move(item)); }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
+      peer_requests_(loop_,
+                     [this](std::string_view path) {
+                         if (path == configuration_fetch::path && !configuration_text_.empty()) {
+                             return probe_server::answer{200, "application/json", configuration_text_};
+                         }
+                         return probe_server::answer{};
+                     }),
+      fetch_(loop_, [this](const std::string& text) { take_configuration(text, "peer"); }),
       configuration_(loop_, settings_.store_address, std::string(configuration_table), incarnation_,
                      [this](table_follower::progress progress) { on_configuration(std::move(progress)); }),
       directory_(loop_, settings_.store_address, std::string(directory_table), incarnation_ + 1,
@@ -87,7 +95,7 @@
     loop_.on_signal(SIGINT, [this] { begin_stop(); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
     if (!gateway_.listen(settings_.caller_address) || !probes_.listen(settings_.readiness_address) ||
-        !peers_.bind(settings_.peer_address)) {
+        !peers_.bind(settings_.peer_address) || !peer_requests_.listen(settings_.peer_address)) {
         log_.warn("daemon.cannot_listen", address_text(settings_.caller_address));
         log_.flush(event_loop::now());
         return exit_cannot_listen;
@@ -118,6 +126,7 @@
     if (now >= next_sweep_) {
         gateway_.sweep(now);
         probes_.sweep(now);
+        peer_requests_.sweep(now);
         log_.flush(now);
         next_sweep_ = now + entry_gateway::sweep_interval;
     }
@@ -140,21 +149,40 @@
     }
     for (const auto& row : progress.changes) {
         if (row.key == configuration_key && !row.deleted) {
-            take_configuration(row);
+            take_configuration(row.value, "store");
         }
     }
 }
 
-void entry_process::take_configuration(const table_row& row)
+void entry_process::take_configuration(const std::string& text, std::string_view source)
 {
-    auto table = decode_configuration(row.value);
+    auto table = decode_configuration(text);
     if (!table) {
-        log_.warn("configuration.unreadable", table.error().message);
+        log_.warn("configuration.unreadable", std::string(source) + ": " + table.error().message);
         return;
     }
+    const auto* current = router_.table();
+    if (current != nullptr && table.value()->version() <= current->version()) {
+        return;
+    }
+    configuration_text_ = text;
+    log_.info("configuration.received",
+              "version " + std::to_string(table.value()->version()) + " from " + std::string(source));
     gateway_.post(configuration_received{std::move(table.value())});
 }
 
+void entry_process::on_report(load_reported report)
+{
+    const auto* current = router_.table();
+    const auto peer = catch_up_.on_report(report.report.daemon, report.report.configuration_version,
+                                          current == nullptr ? 0 : current->version(), event_loop::now());
+    const auto address = peer ? fleet_rows_.find(*peer) : fleet_rows_.end();
+    if (address != fleet_rows_.end()) {
+        fetch_.start(address->second);
+    }
+    gateway_.post(std::move(report));
+}
+
 void entry_process::on_directory(table_follower::progress progress)
 {
     if (progress.lost) {
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "router/configuration_fetch.h"
 #include "router/decision_log.h"
 #include "router/entry_gateway.h"
 #include "router/entry_settings.h"
 #include "router/peer_link.h"
 #include "router/probe_server.h"
 #include "router/store_link.h"
+#include "routing/configuration_catch_up.h"
 #include "routing/request_router.h"
 
 #include <map>
@@ -29,7 +31,8 @@
     void on_configuration(table_follower::progress progress);
     void on_directory(table_follower::progress progress);
     void on_fleet(table_follower::progress progress);
-    void take_configuration(const table_row& row);
+    void take_configuration(const std::string& text, std::string_view source);
+    void on_report(load_reported report);
     probe_server::answer probe(std::string_view path);
     void begin_stop();
     void continue_stop(time_point now);
@@ -48,6 +51,10 @@
     peer_link peers_;
     entry_gateway gateway_;
     probe_server probes_;
+    probe_server peer_requests_; ///< Other daemons' requests for the configuration in force.
+    configuration_fetch fetch_;
+    configuration_catch_up catch_up_;
+    std::string configuration_text_; ///< Of the version in force.
     table_reader configuration_;
     table_reader directory_;
     table_reader fleet_;
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -1,3 +1,4 @@
+#include "routing/configuration_catch_up.h"
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
 #include "routing/prompt_cache_view.h"
@@ -236,6 +237,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_daemon_that_the_store_turns_away)
+
+BOOST_AUTO_TEST_CASE(asks_a_peer_for_a_newer_configuration_after_the_feed_had_its_chance)
+{
+    configuration_catch_up catch_up;
+    BOOST_TEST(!catch_up.on_report("b", 7, 7, start).has_value());
+    BOOST_TEST(!catch_up.on_report("b", 8, 7, start).has_value());
+    const auto late = start + configuration_catch_up::feed_grace;
+    BOOST_TEST((catch_up.on_report("b", 8, 7, late) == std::optional<std::string>("b")));
+    // A peer that does not answer is not asked again at once, another one after a pause.
+    BOOST_TEST(!catch_up.on_report("c", 8, 7, late + milliseconds(100)).has_value());
+    BOOST_TEST((catch_up.on_report("c", 9, 7, late + configuration_catch_up::retry_pause) ==
+                std::optional<std::string>("c")));
+    // Once caught up, a later version gives the feed its chance again.
+    BOOST_TEST(!catch_up.on_report("c", 10, 9, late + seconds(5)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(upstream_health_as_seen_by_one_daemon)
 
 BOOST_AUTO_TEST_CASE(avoids_an_upstream_that_cannot_be_reached_and_forgives_it)
