The placement of generations and admission get classes of their own

Change: generation_placement (sections, caches, pace, choice of an engine), admission (route, workspace, service, time), send_fault with what it proves; what a fault says of an upstream lies with upstream_health. No behaviour changes.

--- /dev/null
+++ b/routing/admission.cpp
@@ -0,0 +1,71 @@
+#include "routing/admission.h"
+
+#include "core/digest.h"
+#include "routing/generation_placement.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+/// The least urgent of the ranks that upstreams know.
+constexpr std::uint8_t least_urgent = 9;
+/// For a route that names no timeout.
+constexpr duration longest_request = seconds(60);
+
+const std::string& pick_service(const route& way, std::minstd_rand& random)
+{
+    std::uint64_t total = 0;
+    for (const auto& each : way.targets) {
+        total += each.weight;
+    }
+    if (way.targets.size() == 1 || total == 0) {
+        return way.targets.front().service;
+    }
+    auto drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
+    for (const auto& each : way.targets) {
+        if (drawn < each.weight) {
+            return each.service;
+        }
+        drawn -= each.weight;
+    }
+    return way.targets.back().service;
+}
+
+} // namespace
+
+std::variant<routed_request, refusal> admit(const request_arrived& event,
+                                            const std::shared_ptr<const route_table>& table,
+                                            std::minstd_rand& random, time_point now)
+{
+    if (!table) {
+        return refusal{503, result_code::not_ready, "no configuration yet"};
+    }
+    const auto version = std::to_string(table->version());
+    const auto match = table->find(event.host, event.path, event.api_key);
+    if (match.found == nullptr) {
+        return refusal{404, result_code::not_found, "no route; configuration " + version};
+    }
+    if (match.unauthorized) {
+        return refusal{401, result_code::unauthorized, "unknown API key; configuration " + version};
+    }
+    routed_request request;
+    request.number = event.request;
+    request.id = event.id;
+    request.table = table;
+    request.way = match.found;
+    request.service = pick_service(*match.found, random);
+    request.workspace = match.owner == nullptr ? "" : match.owner->name;
+    const auto priority = match.owner == nullptr ? std::nullopt : match.owner->priority;
+    request.urgency = std::min(least_urgent, priority.value_or(match.found->priority));
+    request.fingerprint = std::to_string(hash64(event.path, hash64(request.workspace, event.body_hash)));
+    request.prompt = event.prompt;
+    request.step_tolerance =
+        generation_placement::step_tolerance(*match.found, table->find_service(request.service));
+    request.arrived = now;
+    const auto timeout = match.found->timeout > duration::zero() ? match.found->timeout : longest_request;
+    request.ends_at = now + std::min(timeout, event.deadline.value_or(timeout));
+    return request;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/admission.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "routing/routed_request.h"
+#include "routing/router_events.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+
+namespace clementinegap {
+
+/// Why a request is not taken.
+struct refusal {
+    int status{0};
+    result_code code{result_code::internal};
+    std::string detail;
+};
+
+/// Finds the route, workspace and service of a request under a configuration, and the time that it has. A
+/// split route's service is drawn by weight from `random`.
+std::variant<routed_request, refusal> admit(const request_arrived& event,
+                                            const std::shared_ptr<const route_table>& table,
+                                            std::minstd_rand& random, time_point now);
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/generation_placement.cpp
@@ -0,0 +1,144 @@
+#include "routing/generation_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace clementinegap {
+namespace {
+
+/// Time of a token in a moderately filled engine, from the operators' sheet of their engines.
+constexpr duration token_time = microseconds(7000);
+/// Step tolerance of generations that promise no gap.
+constexpr duration any_gap = seconds(10);
+/// Running requests take the larger part of an engine's memory under load; cached parts have the rest.
+constexpr std::uint64_t cache_share_divisor = 2;
+/// Keeps a report within a datagram.
+constexpr std::size_t most_reported_placements = 40;
+
+std::span<const prompt_part> shared_parts(const prompt_facts& prompt)
+{
+    if (prompt.parts.empty()) {
+        return {};
+    }
+    return std::span(prompt.parts).first(prompt.parts.size() - 1);
+}
+
+} // namespace
+
+void generation_placement::set_configuration(const route_table& table)
+{
+    configured_kinds_.clear();
+    for (const route& way : table.streams()) {
+        const auto* target = table.find_service(way.targets.front().service);
+        configured_kinds_.push_back({step_tolerance(way, target), 0, 0, way.priority});
+    }
+}
+
+void generation_placement::update(const route_table& table, const upstream_directory& directory,
+                                  std::vector<stream_demand> demands_of_others, time_point now)
+{
+    auto demands = std::move(demands_of_others);
+    const auto own = demand_.demands(now);
+    demands.insert(demands.end(), own.begin(), own.end());
+    demands.insert(demands.end(), configured_kinds_.begin(), configured_kinds_.end());
+    for (const auto& [name, each] : table.services()) {
+        if (each.engine) {
+            caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
+            partitions_[name].update(directory.usable(name, now), demands);
+        }
+    }
+}
+
+duration generation_placement::step_tolerance(const route& way, const service* target)
+{
+    if (target == nullptr || !target->engine || way.max_gap == duration::zero()) {
+        return any_gap;
+    }
+    return way.max_gap / std::max(1U, target->engine->tokens_per_event);
+}
+
+void generation_placement::count_demand(const routed_request& request, time_point now)
+{
+    const auto* target = request.table->find_service(request.service);
+    const std::int64_t slots = target != nullptr && target->engine ? target->engine->slots : 1;
+    // A stream has its engine's steps in common with the other slots.
+    const auto engine_time = prefill_time(request.prompt.own_tokens()) +
+                             token_time * request.prompt.expected_output() / std::max<std::int64_t>(1, slots);
+    demand_.on_request(request.step_tolerance, request.way->priority, engine_time, now);
+}
+
+upstream_choice generation_placement::choose(const routed_request& request, const choice_view& view) const
+{
+    const auto* engines = partition(request.service);
+    if (engines == nullptr) {
+        return {};
+    }
+    const auto best = choose_engine(engines->engines_for(request.step_tolerance), request.prompt, view);
+    const auto patience = request.way->objective / 2;
+    if (best.upstream && best.expected_wait <= patience) {
+        return best;
+    }
+    // The own section is full: an engine of more tolerant streams may begin sooner, at the risk of gaps.
+    const auto spill = choose_engine(engines->looser_engines(request.step_tolerance), request.prompt, view);
+    if (spill.upstream && (!best.upstream || spill.expected_wait + patience < best.expected_wait)) {
+        return spill;
+    }
+    return best.upstream ? best : choose_engine(engines->engines(), request.prompt, view);
+}
+
+duration generation_placement::time_needed(const routed_request& request, const upstream_choice& choice) const
+{
+    return pace_.needed(request.service, request.step_tolerance,
+                        choice.expected_wait + prefill_time(choice.prefill_tokens),
+                        request.prompt.expected_output());
+}
+
+std::uint8_t generation_placement::urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens)
+{
+    constexpr std::ptrdiff_t least_urgent = 9;
+    /// Tokens to read: one, two, six chunks of an engine.
+    constexpr std::array<std::uint32_t, 3> size_steps = {2000, 5000, 12000};
+    const auto size = std::count_if(size_steps.begin(), size_steps.end(),
+                                    [&](std::uint32_t step) { return prefill_tokens > step; });
+    constexpr auto sizes = static_cast<std::ptrdiff_t>(size_steps.size() + 1);
+    return static_cast<std::uint8_t>(std::min(least_urgent, class_urgency * sizes + size));
+}
+
+void generation_placement::sent(const routed_request& request, time_point now)
+{
+    for (const auto& part : shared_parts(request.prompt)) {
+        part_placement placement{request.upstream->id, part.id, part.tokens};
+        caches_.placed(placement, now);
+        if (unreported_.size() < most_reported_placements) {
+            unreported_.push_back(std::move(placement));
+        }
+    }
+}
+
+void generation_placement::ended_well(const routed_request& request, time_point now)
+{
+    pace_.stream_ended(request.service, request.step_tolerance, request.expected_start,
+                       request.first_event_after, now - request.sent_at - request.first_event_after,
+                       request.prompt.expected_output());
+}
+
+void generation_placement::placed_by_other(std::span<const part_placement> placements, time_point now)
+{
+    for (const auto& each : placements) {
+        caches_.placed(each, now);
+    }
+}
+
+std::vector<part_placement> generation_placement::take_placements()
+{
+    return std::exchange(unreported_, {});
+}
+
+const engine_partition* generation_placement::partition(std::string_view service) const
+{
+    const auto found = partitions_.find(service);
+    return found == partitions_.end() ? nullptr : &found->second;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/generation_placement.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "routing/demand_meter.h"
+#include "routing/engine_pace.h"
+#include "routing/engine_partition.h"
+#include "routing/prompt_cache_view.h"
+#include "routing/routed_request.h"
+#include "routing/upstream_choice.h"
+#include "routing/upstream_directory.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace clementinegap {
+
+/// Where generations go: keeps the engines of each service divided by what their streams tolerate, follows
+/// the engines' prompt caches and their pace, and chooses the engine of a request. Answers the load of long
+/// prompts beside streams with short gaps, of hot sessions, and of more work than can end in time.
+class generation_placement {
+public:
+    /// The kinds of streams of a configuration have engines before any demand is known.
+    void set_configuration(const route_table& table);
+    /// Divides the engines anew. \param demands_of_others as the other daemons reported them.
+    void update(const route_table& table, const upstream_directory& directory,
+                std::vector<stream_demand> demands_of_others, time_point now);
+
+    /// Time that a stream of this route tolerates for one token.
+    static duration step_tolerance(const route& way, const service* target);
+    void count_demand(const routed_request& request, time_point now);
+
+    upstream_choice choose(const routed_request& request, const choice_view& view) const;
+    /// Time that the request needs to its end at the chosen engine.
+    duration time_needed(const routed_request& request, const upstream_choice& choice) const;
+    /// Urgency for the engine, from 0 to 9: by class, then short prompts before long ones.
+    static std::uint8_t urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens);
+
+    void sent(const routed_request& request, time_point now);
+    void ended_well(const routed_request& request, time_point now);
+    void placed_by_other(std::span<const part_placement> placements, time_point now);
+    void engine_gone(std::string_view upstream) { caches_.forget(upstream); }
+    void expire(time_point now) { caches_.expire(now); }
+
+    std::vector<stream_demand> demands(time_point now) { return demand_.demands(now); }
+    /// Placements since the last call, as many as a report holds.
+    std::vector<part_placement> take_placements();
+    const prompt_cache_view& caches() const { return caches_; }
+    /// nullptr for a service without engines.
+    const engine_partition* partition(std::string_view service) const;
+
+private:
+    demand_meter demand_;
+    engine_pace pace_;
+    prompt_cache_view caches_;
+    std::vector<stream_demand> configured_kinds_;
+    std::vector<part_placement> unreported_;
+    std::map<std::string, engine_partition, std::less<>> partitions_;
+};
+
+} // namespace clementinegap
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -1,9 +1,9 @@
 #include "routing/request_router.h"
 
 #include "core/digest.h"
+#include "routing/admission.h"
 
 #include <algorithm>
-#include <array>
 
 namespace clementinegap {
 namespace {
@@ -20,58 +20,8 @@
 constexpr duration least_time = milliseconds(20);
 /// Streams that begin while draining must be able to end: most last no longer than this.
 constexpr duration drain_stream_time = milliseconds(4500);
-/// Time of a token in a moderately filled engine, from the operators' sheet of their engines.
-constexpr duration token_time = microseconds(7000);
-/// Step tolerance of generations that promise no gap.
-constexpr duration any_gap = seconds(10);
 constexpr duration first_service_time = milliseconds(50);
-/// Running requests take the larger part of an engine's memory under load; cached parts have the rest.
-constexpr std::uint64_t cache_share_divisor = 2;
-/// Keeps a report within a datagram.
-constexpr std::size_t most_reported_placements = 40;
 constexpr int service_time_smoothing = 16;
-constexpr std::uint8_t most_urgency = 9;
-
-template <class... visitors> struct overloaded : visitors... {
-    using visitors::operator()...;
-};
-
-/// Engines admit and read requests by urgency, from 0 to 9. Within a class short prompts go before long ones,
-/// so that many do not wait behind one; a class always goes before the next.
-std::uint8_t engine_urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens)
-{
-    constexpr std::array<std::uint32_t, 3> size_steps = {2000, 5000,
-                                                         12000}; ///< Tokens to read; one, two, six chunks.
-    const auto size = std::count_if(size_steps.begin(), size_steps.end(),
-                                    [&](std::uint32_t step) { return prefill_tokens > step; });
-    constexpr auto sizes = static_cast<std::ptrdiff_t>(size_steps.size() + 1);
-    return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(most_urgency, class_urgency * sizes + size));
-}
-
-bool certainly_not_run(send_fault fault)
-{
-    return fault == send_fault::unreachable || fault == send_fault::not_run ||
-           fault == send_fault::wrong_instance;
-}
-
-std::string_view to_string(send_fault fault)
-{
-    switch (fault) {
-    case send_fault::unreachable:
-        return "unreachable";
-    case send_fault::not_run:
-        return "not_run";
-    case send_fault::wrong_instance:
-        return "wrong_instance";
-    case send_fault::lost:
-        return "lost";
-    case send_fault::failed_answer:
-        return "failed_answer";
-    case send_fault::bad_answer:
-        return "bad_answer";
-    }
-    return "unknown";
-}
 
 } // namespace
 
@@ -96,63 +46,28 @@
 
 void request_router::on(const request_arrived& event)
 {
-    if (!table_) {
-        refuse(event.request, event.id, 503, result_code::not_ready, jittered(usual_return),
-               "no configuration yet");
-        return;
-    }
-    const auto match = table_->find(event.host, event.path, event.api_key);
-    if (match.found == nullptr) {
-        refuse(event.request, event.id, 404, result_code::not_found, std::nullopt,
-               "no route; configuration " + std::to_string(table_->version()));
-        return;
-    }
-    if (match.unauthorized) {
-        refuse(event.request, event.id, 401, result_code::unauthorized, std::nullopt,
-               "unknown API key; configuration " + std::to_string(table_->version()));
+    auto admitted = admit(event, table_, random_, now_);
+    if (const auto* refused = std::get_if<refusal>(&admitted)) {
+        const bool comes_back = refused->code == result_code::not_ready;
+        refuse(event.request, event.id, refused->status, refused->code,
+               comes_back ? std::optional(jittered(usual_return)) : std::nullopt, refused->detail);
         return;
     }
-
-    routed_request request;
-    request.number = event.request;
-    request.id = event.id;
-    request.table = table_;
-    request.way = match.found;
-    request.service = pick_service(*match.found);
-    request.workspace = match.owner == nullptr ? "" : match.owner->name;
-    const auto priority = match.owner == nullptr ? std::nullopt : match.owner->priority;
-    request.urgency = std::min(most_urgency, priority.value_or(match.found->priority));
-    request.fingerprint = std::to_string(hash64(event.path, hash64(request.workspace, event.body_hash)));
-    request.prompt = event.prompt;
-    request.step_tolerance = step_tolerance(*match.found, request.service);
-    request.arrived = now_;
-    const auto timeout =
-        match.found->timeout > duration::zero() ? match.found->timeout : duration(seconds(60));
-    request.ends_at = now_ + std::min(timeout, event.deadline.value_or(timeout));
-
+    auto& request = std::get<routed_request>(admitted);
     if (crashes_.is_quarantined(request.fingerprint, now_)) {
         refuse(event.request, event.id, 503, result_code::quarantined, std::nullopt,
                "upstreams crashed while they ran this request");
         return;
     }
-    if (draining()) {
-        const auto needed = match.found->is_stream ? drain_stream_time : match.found->timeout;
-        if (now_ + needed > last_end_) {
-            refuse(event.request, event.id, 503, result_code::leaving, duration::zero(),
-                   "this daemon is stopping");
-            return;
-        }
+    const auto needed = request.way->is_stream ? drain_stream_time : request.way->timeout;
+    if (draining() && now_ + needed > last_end_) {
+        refuse(event.request, event.id, 503, result_code::leaving, duration::zero(),
+               "this daemon is stopping");
+        return;
     }
     budget(request.service).request_seen(now_);
     if (request.is_generation()) {
-        const auto engine_time =
-            prefill_time(request.prompt.own_tokens()) +
-            token_time * request.prompt.expected_output() /
-                std::max<std::int64_t>(1, request.table->find_service(request.service) != nullptr &&
-                                                  request.table->find_service(request.service)->engine
-                                              ? request.table->find_service(request.service)->engine->slots
-                                              : 1);
-        demand_.on_request(request.step_tolerance, request.way->priority, engine_time, now_);
+        placement_.count_demand(request, now_);
     }
     auto& stored = requests_[event.request] = std::move(request);
     if (!try_send(stored)) {
@@ -160,55 +75,15 @@
     }
 }
 
-const std::string& request_router::pick_service(const route& way)
+upstream_choice request_router::choose(const routed_request& request) const
 {
-    std::uint64_t total = 0;
-    for (const auto& each : way.targets) {
-        total += each.weight;
-    }
-    if (way.targets.size() == 1 || total == 0) {
-        return way.targets.front().service;
-    }
-    auto drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random_);
-    for (const auto& each : way.targets) {
-        if (drawn < each.weight) {
-            return each.service;
-        }
-        drawn -= each.weight;
-    }
-    return way.targets.back().service;
-}
-
-duration request_router::step_tolerance(const route& way, std::string_view service) const
-{
-    const auto* target = table_->find_service(service);
-    if (target == nullptr || !target->engine || way.max_gap == duration::zero()) {
-        return any_gap;
-    }
-    return way.max_gap / std::max(1U, target->engine->tokens_per_event);
-}
-
-upstream_choice request_router::choose(const routed_request& request)
-{
-    const choice_view view{ledger_, health_, caches_, settings_.zone, request.tried, now_};
-    if (!request.is_generation()) {
-        const auto upstreams = directory_.usable(request.service, now_);
-        const auto known = service_times_.find(request.service);
-        return choose_plain(upstreams, known == service_times_.end() ? first_service_time : known->second,
-                            view);
-    }
-    const auto& partition = partitions_[request.service];
-    auto best = choose_engine(partition.engines_for(request.step_tolerance), request.prompt, view);
-    const auto patience = request.way->objective / 2;
-    if (best.upstream && best.expected_wait <= patience) {
-        return best;
-    }
-    // The own section is full: an engine of more tolerant streams may begin sooner, at the risk of gaps.
-    const auto spill = choose_engine(partition.looser_engines(request.step_tolerance), request.prompt, view);
-    if (spill.upstream && (!best.upstream || spill.expected_wait + patience < best.expected_wait)) {
-        return spill;
+    const choice_view view{ledger_, health_, placement_.caches(), settings_.zone, request.tried, now_};
+    if (request.is_generation()) {
+        return placement_.choose(request, view);
     }
-    return best.upstream ? best : choose_engine(partition.engines(), request.prompt, view);
+    const auto known = service_times_.find(request.service);
+    return choose_plain(directory_.usable(request.service, now_),
+                        known == service_times_.end() ? first_service_time : known->second, view);
 }
 
 bool request_router::try_send(routed_request& request)
@@ -222,9 +97,7 @@
         return false;
     }
     if (request.is_generation()) {
-        const auto needed = pace_.needed(request.service, request.step_tolerance,
-                                         choice.expected_wait + prefill_time(choice.prefill_tokens),
-                                         request.prompt.expected_output());
+        const auto needed = placement_.time_needed(request, choice);
         if (needed > time_left) {
             // It would take time from requests that can end, and end for nothing itself.
             log("request.cannot_end", request,
@@ -241,14 +114,17 @@
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     ledger_.add(choice.upstream->id, request.prefill_tokens);
-    note_placement(request);
+    if (request.is_generation()) {
+        placement_.sent(request, now_);
+    }
     send_request action;
     action.request = request.number;
     action.upstream = choice.upstream;
     action.time_left = time_left;
     action.workspace = request.workspace;
-    action.urgency =
-        request.is_generation() ? engine_urgency(request.urgency, choice.prefill_tokens) : request.urgency;
+    action.urgency = request.is_generation()
+                         ? generation_placement::urgency(request.urgency, choice.prefill_tokens)
+                         : request.urgency;
     action.is_generation = request.is_generation();
     action.is_stream = request.way->is_stream;
     action.repeatable = request.way->repeat != repeat_rule::once;
@@ -265,20 +141,6 @@
     return true;
 }
 
-void request_router::note_placement(const routed_request& request)
-{
-    if (request.prompt.parts.size() < 2) {
-        return;
-    }
-    for (const auto& part : std::span(request.prompt.parts).first(request.prompt.parts.size() - 1)) {
-        part_placement placement{request.upstream->id, part.id, part.tokens};
-        caches_.placed(placement, now_);
-        if (unreported_placements_.size() < most_reported_placements) {
-            unreported_placements_.push_back(std::move(placement));
-        }
-    }
-}
-
 void request_router::schedule(routed_request& request)
 {
     timers_.cancel(request.timer);
@@ -344,27 +206,13 @@
     log("request.send_failed", request,
         std::string(to_string(event.fault)) + (event.answer_begun ? " begun" : ""));
     release(request);
-    switch (event.fault) {
-    case send_fault::unreachable:
+    health_.send_failed(upstream->id, event.fault, now_);
+    if (event.fault == send_fault::unreachable) {
         --request.sends;
         ++request.unreachable;
-        health_.unreachable(upstream->id, now_);
         process_gone(upstream->id);
-        break;
-    case send_fault::wrong_instance:
-        // Whoever has the address now is not the upstream that is listed.
-        health_.unreachable(upstream->id, now_);
-        health_.unreachable(upstream->id, now_);
-        break;
-    case send_fault::lost:
+    } else if (event.fault == send_fault::lost) {
         crashes_.send_lost(upstream->id, request.fingerprint, now_);
-        health_.failed(upstream->id, now_);
-        break;
-    case send_fault::not_run:
-    case send_fault::failed_answer:
-    case send_fault::bad_answer:
-        health_.failed(upstream->id, now_);
-        break;
     }
     request.may_have_run = request.may_have_run || !certainly_not_run(event.fault);
     if (may_send_again(request, event) && try_send(request)) {
@@ -443,9 +291,7 @@
     }
     auto& request = found->second;
     if (request.upstream && request.is_generation() && !event.upstream_failed && request.sends == 1) {
-        pace_.stream_ended(request.service, request.step_tolerance, request.expected_start,
-                           request.first_event_after, now_ - request.sent_at - request.first_event_after,
-                           request.prompt.expected_output());
+        placement_.ended_well(request, now_);
     }
     if (request.upstream) {
         if (event.upstream_failed) {
@@ -526,7 +372,7 @@
 
 void request_router::process_gone(std::string_view upstream)
 {
-    caches_.forget(upstream);
+    placement_.engine_gone(upstream);
     for (auto& item : crashes_.process_gone(upstream, now_)) {
         actions_.emplace_back(spread_item{std::move(item)});
     }
@@ -539,11 +385,7 @@
     }
     const bool first = table_ == nullptr;
     table_ = event.table;
-    expected_kinds_.clear();
-    for (const auto& way : table_->streams()) {
-        expected_kinds_.push_back(
-            {step_tolerance(way.get(), way.get().targets.front().service), 0, 0, way.get().priority});
-    }
+    placement_.set_configuration(*table_);
     actions_.emplace_back(log_decision{"configuration.in_force", "", "",
                                        "version " + std::to_string(table_->version()) + " routes " +
                                            std::to_string(table_->route_count())});
@@ -600,9 +442,7 @@
 
 void request_router::on(const load_reported& event)
 {
-    for (const auto& placement : event.report.placements) {
-        caches_.placed(placement, now_);
-    }
+    placement_.placed_by_other(event.report.placements, now_);
     ledger_.on_report(event.report, now_);
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
@@ -614,16 +454,7 @@
     if (!table_) {
         return;
     }
-    auto demands = ledger_.demands_of_others();
-    const auto own = demand_.demands(now_);
-    demands.insert(demands.end(), own.begin(), own.end());
-    demands.insert(demands.end(), expected_kinds_.begin(), expected_kinds_.end());
-    for (const auto& [name, each] : table_->services()) {
-        if (each.engine) {
-            caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
-            partitions_[name].update(directory_.usable(name, now_), demands);
-        }
-    }
+    placement_.update(*table_, directory_, ledger_.demands_of_others(), now_);
 }
 
 void request_router::housekeeping()
@@ -631,7 +462,7 @@
     ledger_.expire(now_);
     health_.expire(now_);
     crashes_.expire(now_);
-    caches_.expire(now_);
+    placement_.expire(now_);
     directory_.expire(now_);
     update_partitions();
     timers_.schedule(now_ + housekeeping_interval, [this](time_point) { housekeeping(); });
@@ -661,16 +492,9 @@
     result.sequence = ++report_sequence_;
     result.configuration_version = table_ ? table_->version() : 0;
     result.loads = ledger_.own_loads();
-    result.demands = demand_.demands(now);
-    result.placements = std::move(unreported_placements_);
-    unreported_placements_.clear();
+    result.demands = placement_.demands(now);
+    result.placements = placement_.take_placements();
     return result;
 }
 
-const engine_partition* request_router::partition(std::string_view service) const
-{
-    const auto found = partitions_.find(service);
-    return found == partitions_.end() ? nullptr : &found->second;
-}
-
 } // namespace clementinegap
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -2,9 +2,7 @@
 
 #include "core/timer_service.h"
 #include "routing/crash_watch.h"
-#include "routing/demand_meter.h"
-#include "routing/engine_pace.h"
-#include "routing/engine_partition.h"
+#include "routing/generation_placement.h"
 #include "routing/load_ledger.h"
 #include "routing/retry_budget.h"
 #include "routing/routed_request.h"
@@ -49,7 +47,6 @@
     const route_table* table() const { return table_.get(); }
     /// What the other daemons are to be told.
     load_report report(time_point now);
-    const engine_partition* partition(std::string_view service) const;
     const load_ledger& loads() const { return ledger_; }
 
 private:
@@ -69,9 +66,7 @@
     void on(const drain_begun& event) { last_end_ = event.last_end; }
     void on(const tick&);
 
-    const std::string& pick_service(const route& way);
-    duration step_tolerance(const route& way, std::string_view service) const;
-    upstream_choice choose(const routed_request& request);
+    upstream_choice choose(const routed_request& request) const;
     bool try_send(routed_request& request);
     void release(routed_request& request);
     bool may_send_again(routed_request& request, const send_failed& event);
@@ -82,7 +77,6 @@
     void refuse(request_number number, std::string_view id, int status, result_code code,
                 std::optional<duration> retry_after, std::string detail);
     void log(std::string_view event, const routed_request& request, std::string detail);
-    void note_placement(const routed_request& request);
     void process_gone(std::string_view upstream);
     void update_partitions();
     std::size_t daemons() const;
@@ -98,14 +92,9 @@
     upstream_directory directory_;
     upstream_health health_;
     load_ledger ledger_;
-    demand_meter demand_;
-    prompt_cache_view caches_;
-    std::vector<stream_demand> expected_kinds_; ///< The kinds of the configuration, before any demand.
-    std::vector<part_placement> unreported_placements_;
+    generation_placement placement_;
     crash_watch crashes_;
-    std::map<std::string, engine_partition, std::less<>> partitions_;
     std::map<std::string, retry_budget, std::less<>> budgets_;
-    engine_pace pace_;
     std::map<std::string, duration, std::less<>> service_times_; ///< Smoothed time of a plain request.
     std::unordered_map<request_number, routed_request> requests_;
     std::vector<router_action> actions_;
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -6,6 +6,7 @@
 #include "routing/load_ledger.h"
 #include "routing/prompt.h"
 #include "routing/route_table.h"
+#include "routing/send_fault.h"
 #include "routing/upstream_directory.h"
 
 #include <cstdint>
@@ -36,16 +37,6 @@
     prompt_facts prompt;
 };
 
-/// How a send ended without an answer that can be passed on.
-enum class send_fault : std::uint8_t {
-    unreachable,    ///< No connection; nothing of the request was sent.
-    not_run,        ///< The upstream says that it did not and will not run it.
-    wrong_instance, ///< Another process has the address; it did not run it.
-    lost,           ///< The connection ended before the answer was complete.
-    failed_answer,  ///< A complete failure answer of the upstream, held back so far.
-    bad_answer,     ///< Bytes that are no answer to this request.
-};
-
 /// A send ended in a fault.
 struct send_failed {
     request_number request{0};
--- a/routing/upstream_health.cpp
+++ b/routing/upstream_health.cpp
@@ -44,6 +44,26 @@
     entry.breaker.failed(now);
 }
 
+void upstream_health::send_failed(std::string_view upstream, send_fault fault, time_point now)
+{
+    switch (fault) {
+    case send_fault::unreachable:
+        unreachable(upstream, now);
+        return;
+    case send_fault::wrong_instance:
+        // Whoever has the address now is not the upstream that is listed: avoided at once.
+        unreachable(upstream, now);
+        unreachable(upstream, now);
+        return;
+    case send_fault::not_run:
+    case send_fault::lost:
+    case send_fault::failed_answer:
+    case send_fault::bad_answer:
+        failed(upstream, now);
+        return;
+    }
+}
+
 bool upstream_health::avoided(std::string_view upstream, time_point now) const
 {
     const auto found = records_.find(std::string(upstream));
--- a/routing/upstream_health.h
+++ b/routing/upstream_health.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/circuit_breaker.h"
+#include "routing/send_fault.h"
 
 #include <cstdint>
 #include <string>
@@ -19,6 +20,9 @@
     /// No connection could be made: nobody is there.
     void unreachable(std::string_view upstream, time_point now);
 
+    /// A send ended in a fault, which says more or less of the upstream.
+    void send_failed(std::string_view upstream, send_fault fault, time_point now);
+
     /// Whether new work should go elsewhere while another upstream can be had.
     bool avoided(std::string_view upstream, time_point now) const;
     /// Share of recent requests that failed, 0 to 1; 0 for an upstream that is not known.
