A fault soak of the entry daemons; equal requests lost at one crash are one suspect

Change: a crash counts once for a fingerprint. The soak runs the real programs with stand-ins as processes, kills, pauses, stops and a proxy before the store, and checks what callers and upstreams see.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
-.PHONY: all deps configure demo test slopes format lint clean
+.PHONY: all deps configure demo test soak soak-routed slopes format lint clean
 all: configure
 	cmake --build $(BUILD) -j $(JOBS)
 
@@ -26,6 +26,10 @@
 soak: all
 	@BUILD=$(BUILD) misc/soak.py --stops 50 --kills 50 --seed 20261204
 
+# The same for entries that route straight to upstreams; fifty seeds take about five minutes.
+soak-routed: all
+	for seed in $$(seq 1 50); do BUILD=$(BUILD) misc/soak_routed.py --seed $$seed --seconds 10 || exit 1; done
+
 format: deps
 	misc/format.sh
 
--- /dev/null
+++ b/misc/soak_routed.py
@@ -0,0 +1,309 @@
+#!/usr/bin/env python3
+"""Breaks a running deployment of entry daemons and checks what callers and upstreams see. Seeded, bounded, loopback.
+
+  misc/soak_routed.py --seed 1 --seconds 20 [--entries 2] [--upstreams 3]
+
+Real processes: entries, upstream stand-ins, a store stand-in. Each entry reaches the store through a proxy of this
+script that delays, resets or silences it; processes are killed, paused, stopped and started by signals, in series that
+overlap. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
+the one to its own request and whole; a stream has no gap and no repeat; at the end, without faults, all is served.
+Exits 1 when a promise is broken and prints the seed. Ends only processes that it started.
+"""
+import argparse
+import base64
+import collections
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+BIN = os.path.join(os.environ.get("BUILD", "build"), "bin")
+ANSWER = b"the upstream's own bytes"
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+KINDS = ("look", "book", "ask", "guide")
+RECOVERY_S = 12
+
+
+class Proxy:
+    """Forwards connections to the store; `mode` is fair, slow, silent or reset."""
+
+    def __init__(self, target):
+        self.target, self.mode = target, "fair"
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, near):
+        try:
+            far = socket.create_connection(("127.0.0.1", self.target), 2)
+            threading.Thread(target=self.pump, args=(far, near), daemon=True).start()
+            self.pump(near, far)
+        except OSError:
+            near.close()
+
+    def pump(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                if self.mode == "reset":
+                    break
+                while self.mode == "silent":
+                    time.sleep(0.05)
+                if self.mode == "slow":
+                    time.sleep(0.3)
+                sink.sendall(data)
+        except OSError:
+            pass
+        for each in (source, sink):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return probe.getsockname()[1]
+
+
+class Deployment:
+    def __init__(self, entries, upstreams):
+        self.folder = tempfile.mkdtemp(prefix="soak-")
+        self.processes, self.commands, self.runs = {}, {}, collections.Counter()
+        self.lock = threading.Lock()
+        self.store_port = free_port()
+        self.start("store", [f"{BIN}/routed_stand_in", "--store", str(self.store_port)])
+        self.wait_for(self.store_port)
+        self.upstreams = {}
+        for n in range(upstreams):
+            self.upstreams[f"u{n}"] = free_port()
+            self.start(f"u{n}", [f"{BIN}/routed_stand_in", "--upstream", str(self.upstreams[f"u{n}"])])
+        for name, port in self.upstreams.items():
+            self.write("servers", name, {"service": "app", "address": f"127.0.0.1:{port}", "zone": "z", "slots": 64,
+                                         "state": "ready", "born": 1})
+        self.version = 0
+        self.configure()
+        self.proxies, self.entries = {}, {}
+        for n in range(entries):
+            self.proxies[f"e{n}"] = Proxy(self.store_port)
+            self.entries[f"e{n}"] = free_port()
+            path = os.path.join(self.folder, f"e{n}.jsonc")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump({"vm": f"e{n}", "zone": "z", "caller_address": f"127.0.0.1:{self.entries[f'e{n}']}",
+                           "readiness_address": f"127.0.0.1:{free_port()}", "peer_address": f"127.0.0.1:{free_port()}",
+                           "store_address": f"127.0.0.1:{self.proxies[f'e{n}'].port}", "retry_slack": 1000,
+                           "stop_grace_s": 4}, file)
+            self.start(f"e{n}", [f"{BIN}/clementinegap_router", "--settings", path])
+
+    def configure(self):
+        self.version += 1
+        route = {"host": "h", "timeout_ms": 3000, "goal_ms": 1000, "priority": 1, "service": "app", "public": True}
+        routes = [dict(route, name="look", prefix="/look/", kind="safe", max_attempts=2),
+                  dict(route, name="book", prefix="/book/", kind="unsafe", max_attempts=1),
+                  dict(route, name="ask", prefix="/ask/", kind="stream", max_attempts=2, stream_resume=True,
+                       gap_goal_ms=400),
+                  dict(route, name="guide", prefix="/guide/", kind="stream", max_attempts=1, stream_resume=False,
+                       gap_goal_ms=250)]
+        service = {"name": "app", "health": "/health", "max_conns": 500,
+                   "engine": {"slots": 64, "kv_capacity": 100000, "stride": 1}}
+        self.write("op", "config", {"version": self.version, "routes": routes, "services": [service],
+                                    "limits": {"idle_timeout_ms": 15000}, "tenants": []})
+
+    def write(self, table, key, value):
+        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()}
+        connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
+        connection.request("POST", "/clementinegap/rows-tx", json.dumps({"expected": [], "set_keys": [row],
+                                                                         "remove": []}))
+        connection.getresponse().read()
+
+    def start(self, name, command):
+        self.commands[name] = command
+        is_upstream = name.startswith("u")
+        with open(os.path.join(self.folder, name + ".log"), "ab") as log:
+            process = subprocess.Popen(command, stdout=subprocess.PIPE if is_upstream else log, stderr=log)
+        self.processes[name] = process
+        if is_upstream:
+            threading.Thread(target=self.read_runs, args=(process,), daemon=True).start()
+
+    def read_runs(self, process):
+        for line in process.stdout:
+            with self.lock:
+                self.runs[line.split()[0].decode()] += 1
+
+    @staticmethod
+    def wait_for(port):
+        for _ in range(200):
+            try:
+                socket.create_connection(("127.0.0.1", port), 1).close()
+                return
+            except OSError:
+                time.sleep(0.05)
+        raise SystemExit("a stand-in did not start")
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def restart(self, name):
+        self.processes[name].wait()
+        self.start(name, self.commands[name])
+
+    def stop(self):
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
+
+class Caller(threading.Thread):
+    """Sends requests of all kinds, mostly over one kept connection, and notes how each one ended."""
+
+    def __init__(self, number, deployment, seed, results):
+        super().__init__(daemon=True)
+        self.number, self.deployment, self.results = number, deployment, results
+        self.random, self.stopping, self.connection, self.sent = random.Random(seed), False, None, 0
+
+    def run(self):
+        while not self.stopping:
+            self.one()
+            time.sleep(self.random.random() * 0.03)
+
+    def one(self):
+        kind = self.random.choice(KINDS)
+        self.sent += 1
+        name = f"c{self.number}-{self.sent}"
+        headers = {"Host": "h", "X-Request-Id": name, "X-Deadline-Ms": "3000"}
+        if kind in ("ask", "guide"):
+            headers.update({"X-Model": "m", "X-Token-Counts": "100,5",
+                            "X-Prompt-Prefix": f"{self.random.randrange(4):x}:60,{self.sent:x}:40"})
+        status, body, answered_id = 0, b"", name
+        try:
+            if self.connection is None or self.random.random() < 0.1:
+                port = self.random.choice(list(self.deployment.entries.values()))
+                self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+            self.connection.request("POST", f"/{kind}/x", b"body", headers)
+            answer = self.connection.getresponse()
+            status, answered_id = answer.status, answer.headers.get("X-Request-Id")
+            body = answer.read()
+        except (OSError, http.client.HTTPException) as problem:
+            status = 0 if status == 0 else -status
+            body = getattr(problem, "partial", b"") or b""
+            self.connection = None
+        self.results.append((kind, name, status, answered_id, body))
+
+
+def break_things(deployment, randomly, until):
+    """Faults in series that overlap, until the time is over; all is whole again at the end."""
+    threads = []
+
+    def kill(name):
+        deployment.signal(name, signal.SIGKILL)
+        deployment.restart(name)
+
+    def pause(name):
+        deployment.signal(name, signal.SIGSTOP)
+        time.sleep(randomly.uniform(0.2, 2))
+        deployment.signal(name, signal.SIGCONT)
+
+    def stop(name):
+        deployment.signal(name, signal.SIGTERM)
+        deployment.restart(name)
+
+    def weather(name):
+        deployment.proxies[name].mode = randomly.choice(("slow", "silent", "reset"))
+        time.sleep(randomly.uniform(0.3, 2))
+        deployment.proxies[name].mode = "fair"
+
+    busy = set()
+
+    def run(action, name):
+        try:
+            action(name)
+        finally:
+            busy.discard(name)
+
+    while time.monotonic() < until:
+        everyone = list(deployment.entries) + list(deployment.upstreams)
+        name = randomly.choice(everyone)
+        is_entry = name in deployment.entries
+        action = randomly.choice((kill, pause, stop, weather) if is_entry else (kill, pause))
+        if name not in busy:
+            busy.add(name)
+            threads.append(threading.Thread(target=run, args=(action, name)))
+            threads[-1].start()
+        if randomly.random() < 0.3:
+            deployment.configure()
+        time.sleep(randomly.uniform(0.05, 0.8))
+    for each in threads:
+        each.join()
+
+
+def broken_promises(results, runs):
+    for kind, name, status, answered_id, body in results:
+        ran = runs[name]
+        if kind in ("book", "guide") and ran > 1:
+            yield f"{name} ({kind}) ran {ran} times"
+        if kind in ("book", "guide") and status in (429, 503) and ran:
+            yield f"{name} ({kind}) was answered {status} and ran"
+        if status > 0 and answered_id not in (name, None):
+            yield f"{name} got the answer to {answered_id}"
+        if status == 200 and body != (ANSWER if kind in ("look", "book") else EVENTS):
+            yield f"{name} ({kind}) got a wrong body: {body[:60]!r}"
+        if status < 0 and kind in ("ask", "guide") and not EVENTS.startswith(body):
+            yield f"{name} ({kind}) got events that are not the beginning of its stream: {body[:80]!r}"
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--upstreams", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=8)
+    options = parser.parse_args()
+    randomly = random.Random(options.seed)
+    deployment = Deployment(options.entries, options.upstreams)
+    for port in deployment.entries.values():
+        deployment.wait_for(port)
+    results = []
+    callers = [Caller(n, deployment, options.seed * 1000 + n, results) for n in range(options.callers)]
+    try:
+        for each in callers:
+            each.start()
+        break_things(deployment, randomly, time.monotonic() + options.seconds)
+        calm_from, recovered = len(results), False
+        end = time.monotonic() + RECOVERY_S
+        while time.monotonic() < end and not recovered:
+            time.sleep(0.5)
+            latest = results[calm_from:][-40:]
+            recovered = len(latest) == 40 and all(each[2] == 200 for each in latest)
+        for each in callers:
+            each.stopping = True
+        for each in callers:
+            each.join()
+        time.sleep(0.3)
+    finally:
+        deployment.stop()
+    problems = list(broken_promises(results, deployment.runs))
+    if not recovered:
+        problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
+    ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
+    print(f"seed {options.seed}: {len(results)} requests, {len(problems)} promises broken;",
+          ", ".join(f"{end}: {count}" for end, count in sorted(ends.items())))
+    for each in problems[:20]:
+        print("  ", each, "(logs in", deployment.folder + ")")
+    sys.exit(1 if problems else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/routing/crash_watch.cpp
+++ b/routing/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include "routing/crash_watch.h"
 
+#include <set>
+
 namespace clementinegap {
 
 void crash_watch::send_lost(std::string_view upstream, const std::string& fingerprint, time_point now)
@@ -13,13 +15,15 @@
     if (found == losses_.end()) {
         return {};
     }
-    std::vector<std::string> running;
+    // Equal requests that were lost together are one suspect of one crash.
+    std::set<std::string> lost;
     for (const auto& each : found->second) {
         if (now - each.at <= evidence_span) {
-            running.push_back(each.fingerprint);
+            lost.insert(each.fingerprint);
         }
     }
     losses_.erase(found);
+    const std::vector<std::string> running(lost.begin(), lost.end());
     return running.empty() ? std::vector<soft_item>{} : book_.crashed(running, now);
 }
 
--- /dev/null
+++ b/stand_ins/program/routed_stand_in.cpp
@@ -0,0 +1,75 @@
+#include "stand_ins/routed_store.h"
+#include "stand_ins/routed_upstream.h"
+
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <popt.h>
+#include <string>
+
+namespace {
+
+using namespace clementinegap;
+
+constexpr int exit_usage = 2;
+constexpr int exit_cannot_listen = 3;
+constexpr duration step = milliseconds(5); ///< Fineness of an upstream's pace.
+
+/// Runs an upstream that prints each request it runs, one a line.
+int run_upstream(std::uint16_t port, duration pace)
+{
+    event_loop loop;
+    routed_upstream upstream(loop);
+    upstream.set_pace(pace);
+    upstream.on_run([](const std::string& id, const std::string& path) {
+        std::printf("%s %s\n", id.c_str(), path.c_str());
+        std::fflush(stdout);
+    });
+    if (!upstream.listen(port)) {
+        return exit_cannot_listen;
+    }
+    const std::function<void()> wake = [&] {
+        upstream.advance(event_loop::now());
+        loop.wake_at(event_loop::now() + step, wake);
+    };
+    wake();
+    loop.on_signal(SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+int run_store(std::uint16_t port)
+{
+    event_loop loop;
+    routed_store store(loop);
+    if (!store.listen(port)) {
+        return exit_cannot_listen;
+    }
+    loop.on_signal(SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    int store = 0;
+    int upstream = 0;
+    int pace_ms = 20;
+    const poptOption options[] = {{"store", 's', POPT_ARG_INT, &store, 0, "serve a store", "PORT"},
+                                  {"upstream", 'u', POPT_ARG_INT, &upstream, 0, "serve an upstream", "PORT"},
+                                  {"pace-ms", 'p', POPT_ARG_INT, &pace_ms, 0,
+                                   "time of an answer and of each event of a stream", "MILLISECONDS"},
+                                  POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+        poptGetContext("routed_stand_in", argc, const_cast<const char**>(argv), options, 0),
+        &poptFreeContext);
+    if (poptGetNextOpt(context.get()) < -1 || (store == 0) == (upstream == 0)) {
+        std::fprintf(stderr, "usage: routed_stand_in --store PORT | --upstream PORT [--pace-ms N]\n");
+        return exit_usage;
+    }
+    return store != 0 ? run_store(static_cast<std::uint16_t>(store))
+                      : run_upstream(static_cast<std::uint16_t>(upstream), milliseconds(pace_ms));
+}
--- a/stand_ins/routed_store.h
+++ b/stand_ins/routed_store.h
@@ -19,7 +19,7 @@
     enum class weather : std::uint8_t { fair, busy, dropping, silent };
 
     explicit routed_store(event_loop& loop);
-    bool listen() { return listener_.listen("127.0.0.1", 0); }
+    bool listen(std::uint16_t port = 0) { return listener_.listen("127.0.0.1", port); }
     std::uint16_t port() const { return listener_.port(); }
 
     void put(const std::string& table, const std::string& key, const std::string& value);
--- a/stand_ins/routed_upstream.cpp
+++ b/stand_ins/routed_upstream.cpp
@@ -17,6 +17,11 @@
     return "X-Response-Seal: s." + std::to_string(body_text.size()) + "\r\n" + more;
 }
 
+std::string event_text(int event)
+{
+    return "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+}
+
 std::string whole(int status, const std::string& id, const std::string& more)
 {
     return head_of(status, id, more + "Content-Length: " + std::to_string(body_text.size()) + "\r\n") +
@@ -42,6 +47,15 @@
     const auto* resume = head.find("Last-Event-Id");
     const int first_event = resume == nullptr ? 1 : std::stoi(*resume) + 1;
     const bool is_stream = head.find("X-Token-Counts") != nullptr;
+    report_(id, head.target);
+    if (pace_ > duration::zero()) {
+        if (is_stream) {
+            from.write(head_of(200, id,
+                               sealed("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")));
+        }
+        paced_.push_back({&from, id, is_stream ? first_event : 0, event_loop::now() + pace_});
+        return;
+    }
     seen_.push_back({std::move(head), std::move(body)});
     auto next = is_stream ? behaviour::stream : behaviour::answer;
     if (!script_.empty()) {
@@ -108,12 +122,38 @@
     }
 }
 
+void routed_upstream::advance(time_point now)
+{
+    auto due = std::move(paced_);
+    paced_.clear();
+    for (auto& each : due) {
+        if (now < each.due) {
+            paced_.push_back(std::move(each));
+            continue;
+        }
+        if (each.next_event == 0) {
+            each.to->write(whole(200, each.id, sealed()));
+            each.to->end_answer(false);
+            continue;
+        }
+        if (each.next_event > stream_events) {
+            each.to->write(std::string(last_chunk));
+            each.to->end_answer(false);
+            continue;
+        }
+        each.to->write(as_chunk(event_text(each.next_event++)));
+        each.due = now + pace_;
+        paced_.push_back(std::move(each));
+    }
+    connections_.remove_if([](const auto& each) { return each->gone(); });
+}
+
 void routed_upstream::stream_from(http_server_connection& to, const std::string& id, int first_event,
                                   bool broken)
 {
     to.write(head_of(200, id, sealed("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")));
     for (int event = first_event; event <= stream_events; ++event) {
-        const auto text = "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+        const auto text = event_text(event);
         if (broken && event == first_event + 2) {
             to.write(as_chunk(std::string_view(text).substr(0, 9)));
             to.end_answer(true);
@@ -132,6 +172,7 @@
 
 void routed_upstream::on_gone(http_server_connection& from)
 {
+    std::erase_if(paced_, [&](const paced_answer& each) { return each.to == &from; });
     const auto waiting = std::find(hanging_.begin(), hanging_.end(), &from);
     if (waiting != hanging_.end()) {
         hanging_.erase(waiting);
--- a/stand_ins/routed_upstream.h
+++ b/stand_ins/routed_upstream.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -40,8 +41,16 @@
     };
 
     explicit routed_upstream(event_loop& loop);
-    bool listen() { return listener_.listen("127.0.0.1", 0); }
+    bool listen(std::uint16_t port = 0) { return listener_.listen("127.0.0.1", port); }
     std::uint16_t port() const { return listener_.port(); }
+    /// Answers take this long, and so does each event of a stream; `advance` is then to be called often.
+    void set_pace(duration pace) { pace_ = pace; }
+    void advance(time_point now);
+    /// Called with the id and path of each request that begins to run.
+    void on_run(std::function<void(const std::string& id, const std::string& path)> report)
+    {
+        report_ = std::move(report);
+    }
     /// The behaviours of the next requests; `answer`, or `stream` for streams, when none is left.
     void script(std::deque<behaviour> next) { script_ = std::move(next); }
     const std::vector<seen_request>& seen() const { return seen_; }
@@ -60,8 +69,20 @@
     void on_written(http_server_connection&) override {}
     static void stream_from(http_server_connection& to, const std::string& id, int first_event, bool broken);
 
+    /// A paced answer on its way.
+    struct paced_answer {
+        http_server_connection* to{nullptr};
+        std::string id;
+        int next_event{0}; ///< 0: an answer that is not a stream.
+        time_point due;
+    };
+
     event_loop& loop_;
     tcp_listener listener_;
+    duration pace_{0};
+    std::vector<paced_answer> paced_;
+    std::function<void(const std::string&, const std::string&)> report_{
+        [](const std::string&, const std::string&) {}};
     std::list<std::unique_ptr<http_server_connection>> connections_;
     std::vector<http_server_connection*> hanging_;
     std::deque<behaviour> script_;
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -1,4 +1,5 @@
 #include "routing/configuration_catch_up.h"
+#include "routing/crash_watch.h"
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
 #include "routing/prompt_cache_view.h"
@@ -256,6 +257,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_watch_for_crashing_requests)
+
+BOOST_AUTO_TEST_CASE(counts_a_crash_once_however_many_equal_requests_were_lost)
+{
+    crash_watch crashes;
+    for (int i = 0; i < 5; ++i) {
+        crashes.send_lost("u", "popular", start);
+    }
+    crashes.process_gone("u", start);
+    BOOST_TEST(!crashes.is_quarantined("popular", start));
+    crashes.send_lost("v", "popular", start + seconds(1));
+    crashes.process_gone("v", start + seconds(1));
+    BOOST_TEST(crashes.is_quarantined("popular", start + seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(forgets_a_suspicion_when_the_same_request_ends_well)
+{
+    crash_watch crashes;
+    crashes.send_lost("u", "popular", start);
+    crashes.process_gone("u", start);
+    crashes.ended_well("popular", start + milliseconds(100));
+    crashes.send_lost("v", "popular", start + seconds(1));
+    crashes.process_gone("v", start + seconds(1));
+    BOOST_TEST(!crashes.is_quarantined("popular", start + seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(upstream_health_as_seen_by_one_daemon)
 
 BOOST_AUTO_TEST_CASE(avoids_an_upstream_that_cannot_be_reached_and_forgives_it)
