--- a/tests/platform/test_translation.cpp
+++ b/tests/platform/test_translation.cpp
@@ -110,6 +110,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(heads_with_random_values)
+
+BOOST_AUTO_TEST_CASE(are_read_or_refused_and_never_passed_on_with_what_is_reserved)
+{
+    std::minstd_rand random(6);
+    for (int round = 0; round < 5000; ++round) {
+        auto head = caller_head();
+        auto& header = head.headers[random() % head.headers.size()];
+        header.value = std::string(random() % 40, static_cast<char>('!' + random() % 90));
+        request_arrived request;
+        if (decode_request(head, request)) {
+            continue;
+        }
+        BOOST_TEST(request.prompt.parts.size() <= 64U);
+        send_request send;
+        upstream_record record;
+        record.id = "i-1";
+        send.upstream = std::make_shared<const upstream_record>(record);
+        const auto text = encode_request({head, send, true, 3, ""});
+        BOOST_TEST(text.find("X-Hold") == std::string::npos);
+        BOOST_TEST(text.find("Kv-From") == std::string::npos);
+        BOOST_TEST(text.find("Authorization") == std::string::npos);
+        head.status = 200;
+        (void)decode_answer(head);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_answer)
 
 BOOST_AUTO_TEST_CASE(keeps_the_framing_that_cannot_be_checked)
@@ -191,6 +220,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(survive_damaged_pages)
+{
+    const std::string page =
+        R"({"rows":[{"table":"t","part":"","key":"a","value":"b25l","ver":3}],"ver":9,"has_more":true})";
+    std::minstd_rand random(8);
+    for (int round = 0; round < 5000; ++round) {
+        auto damaged = page;
+        for (int change = 0; change < 3; ++change) {
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        const auto read = decode_table_page(damaged);
+        BOOST_TEST((!read || read.value().rows.size() <= 1U));
+        BOOST_TEST(!decode_table_page(page.substr(0, random() % page.size())).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_read_from_pages)
 {
     const auto page = decode_table_page(
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -75,6 +75,13 @@
     const auto bad = entry_settings_from_text(
         R"({"vm": 1, "caller_address": "nowhere", "retry_ratio": 7, "store_adress": "10.0.0.2:83"})");
     BOOST_REQUIRE(!bad.has_value());
+    std::minstd_rand random(4);
+    for (int round = 0; round < 3000; ++round) {
+        auto damaged = good;
+        damaged[random() % damaged.size()] = static_cast<char>(random());
+        (void)entry_settings_from_text(damaged);
+        (void)entry_settings_from_text(good.substr(0, random() % good.size()));
+    }
     for (const auto* word : {"vm", "zone", "caller_address", "retry_ratio", "store_adress"}) {
         BOOST_TEST(bad.error().message.find(word) != std::string::npos, word);
     }
