A refused caller is told when its engine is expected to have room

Cause: Retry-After was about a second however long the engines' queues were. Change: it is the wait expected at the chosen engine, no less than the usual time of a return, with jitter. Test: tells_a_refused_caller_when_there_will_be_room.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -12,8 +12,8 @@
 constexpr duration housekeeping_interval = milliseconds(250);
 /// Told to callers when nothing better is known: about the time in which a restarted upstream is listed.
 constexpr duration usual_return = milliseconds(800);
-/// Share of its objective after which a repeatable request is tried elsewhere; most answers are far sooner.
-constexpr double move_share = 0.6;
+/// Tenths of its objective after which a repeatable request is tried elsewhere; most answers are far sooner.
+constexpr std::int64_t move_tenths = 6;
 /// Connections that may be refused to one request before it is given up.
 constexpr std::uint32_t max_unreachable = 3;
 /// Less time than this is not worth another send.
@@ -93,6 +93,7 @@
         return false;
     }
     const auto choice = choose(request);
+    request.room_in = choice.expected_wait;
     if (!choice.upstream || choice.expected_wait > time_left) {
         return false;
     }
@@ -148,9 +149,7 @@
     const bool can_move =
         request.way->repeat == repeat_rule::repeatable && request.sends < request.way->max_upstreams;
     if (can_move) {
-        const auto move_at = now_ + duration(static_cast<duration::rep>(
-                                        static_cast<double>(request.way->objective.count()) * move_share));
-        due = std::min(due, move_at);
+        due = std::min(due, now_ + request.way->objective * move_tenths / 10);
     }
     request.timer = timers_.schedule(due, [this, number = request.number](time_point) { on_timer(number); });
 }
@@ -260,7 +259,8 @@
         log("request.refused", request,
             request.sends + request.unreachable == 0 ? "503 no upstream can end it in time"
                                                      : "503 after " + std::string(to_string(fault)));
-        actions_.emplace_back(answer_caller{request.number, 503, code, jittered(usual_return)});
+        actions_.emplace_back(
+            answer_caller{request.number, 503, code, jittered(std::max(usual_return, request.room_in))});
     } else {
         code = fault == send_fault::bad_answer ? result_code::upstream_failed : result_code::upstream_lost;
         log("request.failed", request, "502 after " + std::string(to_string(fault)) + ", it may have run");
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -37,6 +37,7 @@
     duration expected_start{0};     ///< Until the first event, as expected when it was sent.
     std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
     std::uint32_t sends{0};         ///< Sends that reached an upstream.
+    duration room_in{0};            ///< Expected wait at the upstream chosen last.
     std::uint32_t unreachable{0};
     bool may_have_run{false};
 
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -327,6 +327,21 @@
     BOOST_TEST(one<answer_caller>()->retry_after.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(tells_a_refused_caller_when_there_will_be_room)
+{
+    load_reported told;
+    told.report = {"entry-2", 1, 1, 1, {}, {}, {}};
+    for (int engine = 1; engine <= 12; ++engine) {
+        // Four seconds of reading lie before every engine.
+        told.report.loads.emplace_back("e" + std::to_string(engine), upstream_load{4, 0, 120000});
+    }
+    give(told);
+    arrive_generation("/ask/x", 1, 60000);
+    BOOST_REQUIRE(one<answer_caller>().has_value());
+    BOOST_TEST(one<answer_caller>()->status == 503);
+    BOOST_TEST((*one<answer_caller>()->retry_after >= seconds(3)));
+}
+
 BOOST_AUTO_TEST_CASE(counts_the_work_that_other_daemons_report)
 {
     const auto idle = arrive_generation("/draft/x", 42, 1000);
