Generations that share no prompt spread over all engines of their section

Cause: read through at the end: the cost of a further engine was also laid on requests without a session, which then piled on the first two engines in the order of ids. Change: the cost applies to sessions only. Test: spreads_generations_that_share_no_prompt, failed before (2 engines).

--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -98,11 +98,11 @@
         const auto missing =
             is_owner ? 0U : std::min(session->tokens, view.caches.missing_tokens(each->id, prompt, view.now));
         const auto wait = prefill_time(load.prefill_tokens);
-        const auto cost = wait + scaled(prefill_time(missing), reread_weight) +
-                          cost_per_stream * load.in_flight +
-                          full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
-                          (rank < session_engines ? duration::zero() : further_engine_cost) +
-                          scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
+        const auto cost =
+            wait + scaled(prefill_time(missing), reread_weight) + cost_per_stream * load.in_flight +
+            full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
+            (session == nullptr || rank < session_engines ? duration::zero() : further_engine_cost) +
+            scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
             best = {each, wait, prompt.own_tokens() + missing, missing};
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -268,6 +268,23 @@
     BOOST_TEST(used.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(spreads_generations_that_share_no_prompt)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 12; ++i) {
+        request_arrived event;
+        event.request = ++last;
+        event.host = "h";
+        event.path = "/draft/x";
+        event.api_key = "key-a";
+        event.prompt.tokens_in = 2000;
+        event.prompt.tokens_out_limit = 20;
+        give(event);
+        used.insert(sent_to());
+    }
+    BOOST_TEST(used.size() > 2U);
+}
+
 BOOST_AUTO_TEST_CASE(leaves_a_loaded_owner_for_an_idle_engine)
 {
     arrive_generation("/draft/x", 42, 40000);
