One reader of addresses, one scaling of durations, the platform's table names in platform/

Cause: reading the whole change once more: 'IP:PORT' was read in three places, a duration times a factor written four times; the names of the platform's tables stood in router/, which is to know none; a block of exchange_ended could not run, since the caller is let go before. Change: parse_endpoint in routing/upstream_record, scaled in routing/scaled_duration.h, the names in platform/header_names.h; the dead block is gone. Two details are stricter or worded anew: trailing text after the port of a peer's own row is refused, as elsewhere; an upstream's bad address gives one message instead of two.

--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -186,11 +186,6 @@
         return;
     }
     found->second->stop_send();
-    if (auto* connection = found->second->caller()) {
-        if (const auto caller = callers_.find(connection); caller != callers_.end()) {
-            caller->second.request = 0;
-        }
-    }
     ended_.push_back(std::move(found->second));
     exchanges_.erase(found);
 }
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -3,16 +3,12 @@
 #include "platform/directory_rows.h"
 #include "platform/header_names.h"
 
-#include <charconv>
 #include <csignal>
 #include <ctime>
 
 namespace clementinegap {
 namespace {
 
-constexpr std::string_view configuration_table = "op";
-constexpr std::string_view configuration_key = "config";
-constexpr std::string_view directory_table = "servers";
 constexpr std::string_view fleet_table = "daemons";
 /// Time between the end of the last request and the kill that ends a slow stop.
 constexpr duration stop_margin = milliseconds(500);
@@ -34,21 +30,6 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
-std::optional<endpoint> parse_address(std::string_view text)
-{
-    endpoint result;
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    result.ip = text.substr(0, colon);
-    const auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), result.port);
-    if (parsed.ec != std::errc{} || result.port == 0) {
-        return std::nullopt;
-    }
-    return result;
-}
-
 router_settings router_settings_of(const entry_settings& settings, std::uint64_t incarnation)
 {
     router_settings result;
@@ -77,9 +58,11 @@
                          return probe_server::answer{};
                      }),
       fetch_(loop_, [this](const std::string& text) { take_configuration(text, "peer"); }),
-      configuration_(loop_, settings_.store_address, std::string(configuration_table), incarnation_,
+      configuration_(loop_, settings_.store_address, std::string(platform_names::configuration_table),
+                     incarnation_,
                      [this](table_follower::progress progress) { on_configuration(std::move(progress)); }),
-      directory_(loop_, settings_.store_address, std::string(directory_table), incarnation_ + 1,
+      directory_(loop_, settings_.store_address, std::string(platform_names::directory_table),
+                 incarnation_ + 1,
                  [this](table_follower::progress progress) { on_directory(std::move(progress)); }),
       fleet_(loop_, settings_.store_address, std::string(fleet_table), incarnation_ + 2,
              [this](table_follower::progress progress) { on_fleet(std::move(progress)); }),
@@ -148,7 +131,7 @@
         log_.info(progress.lost ? "configuration.store_lost" : "configuration.store_regained", "");
     }
     for (const auto& row : progress.changes) {
-        if (row.key == configuration_key && !row.deleted) {
+        if (row.key == platform_names::configuration_key && !row.deleted) {
             take_configuration(row.value, "store");
         }
     }
@@ -219,8 +202,8 @@
         fleet_rows_.clear();
     }
     for (const auto& row : progress.changes) {
-        const auto address = parse_address(row.value);
-        if (row.deleted || !address) {
+        const auto address = parse_endpoint(row.value);
+        if (row.deleted || !address || address->port == 0) {
             fleet_rows_.erase(row.key);
         } else {
             fleet_rows_[row.key] = *address;
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -2,7 +2,6 @@
 
 #include "core/checked_json.h"
 
-#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -12,19 +11,11 @@
 endpoint read_endpoint(object_reader& reader, std::string_view name)
 {
     const auto text = reader.string(name);
-    endpoint result;
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
+    const auto parsed = parse_endpoint(text);
+    if (!parsed) {
         reader.fault(name, text, "IP:PORT");
-        return result;
     }
-    result.ip = text.substr(0, colon);
-    const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, result.port);
-    if (parsed.ec != std::errc{} || parsed.ptr != end) {
-        reader.fault(name, text, "IP:PORT");
-    }
-    return result;
+    return parsed.value_or(endpoint{});
 }
 
 duration seconds_of(double value)
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -42,7 +42,6 @@
     void caller_gone() { caller_ = nullptr; }
     /// The caller takes bytes again.
     void caller_drained();
-    http_server_connection* caller() const { return caller_; }
 
 private:
     /// An answer that is not a stream is held until it is whole, up to this size.
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 #include "routing/admission.h"
+#include "routing/scaled_duration.h"
 
 #include <algorithm>
 
@@ -475,8 +476,7 @@
 
 duration request_router::jittered(duration value)
 {
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) *
-                                               std::uniform_real_distribution<double>(0.75, 1.5)(random_)));
+    return scaled(value, std::uniform_real_distribution<double>(0.75, 1.5)(random_));
 }
 
 retry_budget& request_router::budget(const std::string& service)
--- /dev/null
+++ b/routing/scaled_duration.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace clementinegap {
+
+/// A duration times a factor, cut to whole microseconds.
+constexpr duration scaled(duration value, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace clementinegap
--- a/routing/table_follower.cpp
+++ b/routing/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "routing/table_follower.h"
 
+#include "routing/scaled_duration.h"
+
 #include <algorithm>
 
 namespace clementinegap {
@@ -76,9 +78,7 @@
     outcome.lost = reachable_;
     reachable_ = false;
     pause_ = std::clamp<duration>(pause_ * 2, first_pause, longest_pause);
-    next_at_ =
-        now + duration(static_cast<duration::rep>(static_cast<double>(pause_.count()) *
-                                                  std::uniform_real_distribution<double>(0.5, 1.0)(random_)));
+    next_at_ = now + scaled(pause_, std::uniform_real_distribution<double>(0.5, 1.0)(random_));
     return outcome;
 }
 
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -1,6 +1,7 @@
 #include "routing/upstream_choice.h"
 
 #include "core/digest.h"
+#include "routing/scaled_duration.h"
 
 #include <algorithm>
 #include <limits>
@@ -33,11 +34,6 @@
     return std::find(view.excluded.begin(), view.excluded.end(), upstream.id) != view.excluded.end();
 }
 
-duration scaled(duration value, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
-}
-
 /// Calls `visit` for each upstream that may be used; for those to be avoided only when there is no other.
 template <class visitor>
 void for_each_usable(std::span<const upstream_ptr> upstreams, const choice_view& view, visitor&& visit)
--- a/routing/upstream_record.h
+++ b/routing/upstream_record.h
@@ -3,7 +3,9 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace clementinegap {
 
@@ -14,6 +16,9 @@
     bool operator==(const endpoint&) const = default;
 };
 
+/// Reads "IP:PORT"; nothing for another text.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
 /// What an upstream says of itself in the platform's directory.
 struct upstream_record {
     std::string id;
