--- a/adapters/decision_thread.h
+++ b/adapters/decision_thread.h
@@ -17,8 +17,10 @@
 public:
     using apply_function = std::function<void(const Action&, time_point now)>;
 
-    decision_thread(Core core, std::size_t ring_capacity, apply_function apply)
-        : core_(std::move(core)), ring_(ring_capacity), apply_(std::move(apply))
+    /// \param settings that the core is made from.
+    template <class Settings>
+    decision_thread(Settings settings, std::size_t ring_capacity, apply_function apply)
+        : core_(std::move(settings)), ring_(ring_capacity), apply_(std::move(apply))
     {
     }
     decision_thread(const decision_thread&) = delete;
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -32,7 +32,7 @@
 
 entry_daemon::entry_daemon(settings values)
     : daemon_base(std::move(values)),
-      decisions_(entry_core(core_settings(settings_)), settings_.ring_capacity,
+      decisions_(core_settings(settings_), settings_.ring_capacity,
                  [this](const entry_action& action, time_point now) { perform(action, now); }),
       callers_([this](entry_event event) { return decisions_.post(std::move(event)); })
 {
--- a/main/upstream_daemon.cpp
+++ b/main/upstream_daemon.cpp
@@ -27,7 +27,7 @@
 
 upstream_daemon::upstream_daemon(settings values)
     : daemon_base(std::move(values)),
-      decisions_(upstream_core(core_settings(settings_)), settings_.ring_capacity,
+      decisions_(core_settings(settings_), settings_.ring_capacity,
                  [this](const upstream_action& action, time_point now) { perform(action, now); }),
       runs_(*platform_, [this](upstream_event event) { return decisions_.post(std::move(event)); }),
       engine_(settings_.engine_url,
--- /dev/null
+++ b/request/caller_answers.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "request/entry_context.h"
+#include "request/failure_answer.h"
+
+#include <string>
+#include <string_view>
+
+namespace clementinegap {
+
+/// Whether answers of this content type are passed on as they arrive.
+bool is_stream(std::string_view content_type);
+
+/// What callers are sent: streams as they arrive, other answers whole, failures in the form that the answer
+/// still allows. Credit for the upstream follows what the caller takes.
+class caller_answers {
+public:
+    explicit caller_answers(entry_context& context) : context_(context) {}
+
+    /// Passes on bytes of the running attempt, or holds them until the answer is whole.
+    void deliver(entry_request& request, std::string bytes);
+    /// The caller took so many bytes.
+    void drained(entry_request& request, std::uint32_t bytes);
+    void complete(entry_request& request);
+    void fail(const entry_request& request, const failure_notice& notice);
+    /// Answers a request that was not admitted.
+    void refuse(const caller_request& input, const failure_notice& notice);
+
+private:
+    header_list headers(const entry_request& request) const;
+    answer_whole failure(caller_id caller, const failure_notice& notice, std::string_view id) const;
+    void add_sunset(header_list& headers) const;
+    void give_credit(const entry_request& request, std::size_t bytes);
+    void send_head(entry_request& request);
+
+    entry_context& context_;
+};
+
+} // namespace clementinegap
--- /dev/null
+++ b/request/entry_admission.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "policy/rate_limiter.h"
+#include "request/entry_context.h"
+#include "request/failure_answer.h"
+#include "request/model_list.h"
+#include "request/request_table.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace clementinegap {
+
+/// Decides whether a request is taken in: keys, classes, models, the announced shutdown, limits of
+/// workspaces and room. Works for any load; its cost does not grow with the number of requests held.
+class entry_admission {
+public:
+    explicit entry_admission(entry_context& context) : context_(context), limits_(context.settings.vm) {}
+
+    /// Reads keys and classes of the present configuration again.
+    void index_configuration();
+    void item_seen(const soft_item& item) { limits_.item_seen(item, context_.now); }
+
+    /// Why the request cannot be taken in; nothing when it can.
+    std::optional<failure_notice> refusal_of(const caller_request& input, const upstream_map& upstreams,
+                                             const request_table& held, bool draining) const;
+    /// Charges the limits of the workspace; a refusal when one is used up. Only after `refusal_of`.
+    std::optional<failure_notice> charge_limits(const workspace& owner, const request_class& rules);
+    /// Only for a request that `refusal_of` lets in.
+    entry_request_ptr admit(const caller_request& input) const;
+
+    const workspace* workspace_of(const std::string& key_sha256) const;
+    const request_class* class_of(const caller_request& input) const;
+
+private:
+    failure_notice refusal(result_code code, const caller_request& input, duration retry_after) const;
+    void report_demand();
+
+    entry_context& context_;
+    std::unordered_map<std::string_view, const workspace*> workspaces_by_key_;
+    std::unordered_map<std::string_view, const request_class*> classes_by_name_;
+    rate_limiter limits_;
+    timer_service::timer_id report_timer_{0};
+};
+
+} // namespace clementinegap
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -1,698 +1,134 @@
 #include "request/entry_core.h"
 
-#include "core/digest.h"
 #include "request/decision_reason.h"
-#include "request/model_list.h"
-#include "request/shutdown_schedule.h"
+#include "request/request_summary.h"
 #include "request/truth.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace clementinegap {
 namespace {
 
-constexpr duration default_retry_after = seconds(1);
-constexpr std::int64_t widenings_per_target =
-    12; ///< Further upstreams are asked this often until the target.
-constexpr duration least_widening = milliseconds(5);
-constexpr duration longest_widening = milliseconds(250);
-constexpr std::int64_t urgent_intervals =
-    4; ///< A stream that goes on elsewhere is late after so many tokens.
-constexpr duration stall_check_interval = milliseconds(250);
-constexpr duration least_stall = milliseconds(500);
-constexpr std::int64_t stall_intervals = 20; ///< Missing tokens that make a stall.
-constexpr duration least_retry_after = milliseconds(100);
-constexpr std::uint64_t max_undrained = 65536;
-constexpr duration quarantine_retry_after = std::chrono::minutes(10);
-constexpr std::string_view stream_content_type = "text/event-stream";
-
-bool is_stream(std::string_view content_type)
-{
-    return content_type.starts_with(stream_content_type);
-}
-
-std::string hexadecimal(std::uint64_t value)
-{
-    static constexpr std::string_view digits = "0123456789abcdef";
-    std::string text(16, '0');
-    for (std::size_t i = text.size(); i-- > 0; value >>= 4U) {
-        text[i] = digits[value & 15U];
-    }
-    return text;
-}
-
-/// How long the upstreams that were asked have before further ones are asked.
-duration widening_step(const entry_request& request)
-{
-    return std::clamp<duration>(request.rules.first_token_target / widenings_per_target, least_widening,
-                                longest_widening);
-}
-
-/// What is known of a dispatched attempt: only the upstream's own answer proves that the request reached it.
-ran_state ran_so_far(const entry_request& request)
-{
-    return request.status != 0 ? ran_state::yes : ran_state::unknown;
-}
+constexpr duration displaced_retry_after = seconds(1);
 
 } // namespace
 
 entry_core::entry_core(entry_settings settings)
-    : settings_(std::move(settings)), random_(settings_.seed), prefixes_(settings_.max_prefixes),
-      limits_(settings_.vm), retries_(settings_.retry_share, settings_.budget_depth),
-      hedges_(settings_.hedge_share, settings_.budget_depth)
+    : context_(std::move(settings)), requests_(context_.settings.max_requests),
+      attempts_(context_.settings.incarnation), admission_(context_), answers_(context_),
+      search_(context_, pools_, attempts_, *this), moves_(context_, attempts_, requests_, search_)
 {
 }
 
 std::span<const entry_action> entry_core::on_event(const entry_event& event, time_point now)
 {
-    actions_.clear();
-    now_ = std::max(now_, now);
-    timers_.run_due(now_);
+    context_.actions.clear();
+    context_.now = std::max(context_.now, now);
+    context_.timers.run_due(context_.now);
     std::visit([this](const auto& value) { handle(value); }, event);
-    return actions_;
+    return context_.actions;
 }
 
-// --- Admission
-// ------------------------------------------------------------------------------------------------
+// --- Callers
 
 void entry_core::handle(const caller_request& event)
 {
-    if (const auto notice = refuse_at_admission(event)) {
-        refuse_caller(event, *notice);
+    if (const auto notice = admission_.refusal_of(event, pools_.views(), requests_, draining_)) {
+        answers_.refuse(event, *notice);
         return;
     }
     if (event.path == models_path) {
-        actions_.emplace_back(model_list_answer(event.caller, upstreams_, new_request_id()));
+        context_.act(model_list_answer(event.caller, pools_.views(), context_.new_request_id()));
         return;
     }
-    const auto& owner = *workspace_of(event.key_sha256);
-    const auto& rules = *class_of(event);
-    if (const auto notice = refuse_by_limit(owner, rules)) {
-        refuse_caller(event, *notice);
+    const auto& rules = *admission_.class_of(event);
+    if (const auto notice = admission_.charge_limits(*admission_.workspace_of(event.key_sha256), rules)) {
+        answers_.refuse(event, *notice);
         return;
     }
-    if (requests_.size() >= settings_.max_requests) {
-        const auto displaced = waiting_below(rules.tier);
-        record(*displaced, "request.displaced", "", "the table is full and a request of a higher tier came");
-        fail(displaced, {result_code::table_full, ran_state::no, default_retry_after, ""});
-    }
-    const auto request = admit(event, rules, owner);
-    record(*request, "request.admitted", "", admission_reason(*request));
-    retries_.request_seen();
-    hedges_.request_seen();
-    if (stall_timer_ == 0 && is_late_bound()) {
-        look_for_stalls();
-    }
-    place(request);
-}
-
-entry_core::request_ptr entry_core::waiting_below(int tier) const
-{
-    request_ptr lowest;
-    for (const auto& [caller, request] : requests_) {
-        const bool waits = !request->running && request->dispatches == 0 && !request->caller_left;
-        if (!waits || request->rules.tier <= tier) {
-            continue;
-        }
-        const auto rank = [](const entry_request& item) {
-            return std::tuple(item.rules.tier, item.arrived, item.id);
-        };
-        if (lowest == nullptr || rank(*request) > rank(*lowest)) {
-            lowest = request;
-        }
-    }
-    return lowest;
-}
-
-void entry_core::refuse_caller(const caller_request& event, const failure_notice& notice)
-{
-    const auto id = new_request_id();
-    auto answer = failure_answer(event.caller, notice, id);
-    add_sunset(answer.headers);
-    actions_.emplace_back(std::move(answer));
-    actions_.emplace_back(emit_record{{"request.refused_at_admission", id, event.class_name, "", "",
-                                       std::string(describe(notice.code).name)}});
-}
-
-const request_class* entry_core::class_of(const caller_request& input) const
-{
-    if (input.class_name.empty()) {
-        return configuration_->classify(input.path, input.model);
-    }
-    const auto found = classes_by_name_.find(input.class_name);
-    return found == classes_by_name_.end() ? nullptr : found->second;
-}
-
-void entry_core::index_configuration()
-{
-    workspaces_by_key_.clear();
-    classes_by_name_.clear();
-    for (const auto& item : configuration_->workspaces) {
-        workspaces_by_key_.emplace(item.key_sha256, &item);
-    }
-    for (const auto& item : configuration_->classes) {
-        classes_by_name_.emplace(item.name, &item);
+    if (requests_.full()) {
+        make_room_for(rules.tier);
     }
-}
-
-const workspace* entry_core::workspace_of(const std::string& key_sha256) const
-{
-    // The table is keyed by hashes, so what its timing could tell of a hash does not help to find a key.
-    const auto found = workspaces_by_key_.find(key_sha256);
-    const bool matches =
-        found != workspaces_by_key_.end() && equal_constant_time(found->second->key_sha256, key_sha256);
-    return matches ? found->second : nullptr;
-}
-
-std::optional<failure_notice> entry_core::refuse_at_admission(const caller_request& input) const
-{
-    if (configuration_ == nullptr) {
-        return refusal(result_code::not_ready, input, default_retry_after);
-    }
-    if (has_ended(configuration_->shutdown, now_)) {
-        return refusal(result_code::shut_down, input, duration::zero());
-    }
-    if (draining_) {
-        return refusal(result_code::leaving, input, default_retry_after);
-    }
-    if (workspace_of(input.key_sha256) == nullptr) {
-        return failure_notice{result_code::unauthorized, ran_state::no, duration::zero(), ""};
-    }
-    if (!input.bad_header.empty()) {
-        return failure_notice{result_code::bad_header, ran_state::no, duration::zero(), input.bad_header};
-    }
-    if (input.path == models_path) {
-        return std::nullopt;
-    }
-    if (input.malformed) {
-        return failure_notice{result_code::malformed_body, ran_state::no, duration::zero(), ""};
-    }
-    const auto* rules = class_of(input);
-    if (rules == nullptr) {
-        return failure_notice{result_code::unknown_class, ran_state::no, duration::zero(), ""};
-    }
-    if (!input.model.empty() && !is_known_model(input.model, *configuration_, upstreams_)) {
-        return failure_notice{result_code::unknown_model, ran_state::no, duration::zero(), ""};
-    }
-    if (rules->key_required && input.idempotency_key.empty()) {
-        return failure_notice{result_code::key_required, ran_state::no, duration::zero(), ""};
-    }
-    if (!admits(configuration_->shutdown, *rules, now_)) {
-        return refusal(result_code::shut_down, input, duration::zero());
-    }
-    if (requests_.size() >= settings_.max_requests && waiting_below(rules->tier) == nullptr) {
-        return refusal(result_code::table_full, input, default_retry_after);
-    }
-    return std::nullopt;
-}
-
-std::optional<failure_notice> entry_core::refuse_by_limit(const workspace& owner, const request_class& rules)
-{
-    for (const auto& limit : owner.limits) {
-        if (!limit.class_name.empty() && limit.class_name != rules.name) {
-            continue;
-        }
-        if (report_timer_ == 0) {
-            report_timer_ = timers_.schedule(now_ + rate_limiter::report_interval(),
-                                             [this](time_point) { report_demand(); });
-        }
-        const auto wait = limits_.refuse(owner.name + '\n' + limit.class_name,
-                                         {limit.requests_per_second, limit.burst}, now_);
-        if (wait) {
-            return failure_notice{result_code::rate_limited, ran_state::no, *wait, ""};
-        }
-    }
-    return std::nullopt;
-}
-
-void entry_core::report_demand()
-{
-    report_timer_ = 0;
-    auto items = limits_.reports_due(now_);
-    for (auto& item : items) {
-        actions_.emplace_back(publish_item{std::move(item)});
-    }
-    if (!items.empty()) {
-        report_timer_ =
-            timers_.schedule(now_ + rate_limiter::report_interval(), [this](time_point) { report_demand(); });
-    }
-}
-
-failure_notice entry_core::refusal(result_code code, const caller_request& input, duration retry_after) const
-{
-    // Without a configuration the class is not known; a key may then name a run.
-    const auto* rules = configuration_ == nullptr ? nullptr : class_of(input);
-    const bool keyed = rules == nullptr ? !input.idempotency_key.empty() : is_keyed_run(*rules, input);
-    return {code, keyed ? ran_for_key(code, ran_state::no) : ran_state::no, retry_after, ""};
-}
-
-entry_core::request_ptr entry_core::admit(const caller_request& input, const request_class& rules,
-                                          const workspace& owner)
-{
-    auto request = std::make_shared<entry_request>();
-    request->input = input;
-    request->id = new_request_id();
-    request->rules = rules;
-    request->workspace = owner.name;
-    request->workspace_weight = owner.weight;
-    request->fingerprint = sha256_hex({owner.name, input.path, input.body});
-    request->arrived = now_;
-    request->deadline_at = now_ + std::min(rules.deadline, input.deadline.value_or(rules.deadline));
-    request->deadline_at = std::min(request->deadline_at, configuration_->shutdown.ends_at.value_or(never));
-    request->target_at = now_ + rules.first_token_target;
+    const auto request = admission_.admit(event);
     request->deadline_timer =
-        timers_.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
-    requests_.emplace(input.caller, request);
-    return request;
-}
-
-// --- Placement
-// ------------------------------------------------------------------------------------------------
-
-bool entry_core::was_asked(const entry_request& request, const std::string& vm) const
-{
-    const bool is_open =
-        std::ranges::find(request.reservations, vm, &reservation::vm) != request.reservations.end();
-    return is_open || request.refused_by.contains(vm) || (request.running && request.running->vm == vm);
-}
-
-std::vector<const upstream_view*> entry_core::candidates(const entry_request& request)
-{
-    // A class names the model that serves it; requests may ask for another model by name.
-    const auto& model = request.input.model.empty() ? request.rules.model : request.input.model;
-    std::vector<const upstream_view*> result;
-    const auto found = pools_.find(model);
-    if (found == pools_.end() || found->second.empty() ||
-        request.reservations.size() >= settings_.max_reservations) {
-        return result;
-    }
-    // A large pool is looked at in parts, from a random place on, so that the cost does not grow with it.
-    const auto& pool = found->second;
-    const auto begin = pool.size() <= settings_.max_considered ? 0 : random_() % pool.size();
-    for (std::size_t i = 0; i < pool.size() && result.size() < settings_.max_considered; ++i) {
-        const auto& view = *pool[(begin + i) % pool.size()];
-        if (view.connected && !view.leaving && !leaving_upstreams_.contains(view.vm) &&
-            !was_asked(request, view.vm)) {
-            result.push_back(&view);
-        }
-    }
-    return result;
-}
-
-void entry_core::join_pools(const upstream_view& view, const std::vector<std::string>& former_models)
-{
-    for (const auto& model : former_models) {
-        std::erase(pools_[model], &view);
-    }
-    for (const auto& model : view.models) {
-        pools_[model].push_back(&view);
-    }
-}
-
-void entry_core::place(const request_ptr& request)
-{
-    if (request->running && poison_.is_quarantined(request->fingerprint, now_)) {
-        return; // What runs is not started a second time beside it.
-    }
-    if (poison_.is_quarantined(request->fingerprint, now_)) {
-        fail(request, {result_code::quarantined, ran_state::no, quarantine_retry_after, ""});
-        return;
-    }
-    const auto possible = candidates(*request);
-    if (possible.empty()) {
-        give_up_or_wait(request);
-        return;
-    }
-    const auto* favourite = is_late_bound() ? prefixes_.favourite(request->input.prefix_hashes) : nullptr;
-    const placement_request about{settings_.zone, static_cast<std::uint8_t>(request->rules.tier),
-                                  request->input.prefix_hashes,
-                                  favourite == nullptr ? std::string_view() : std::string_view(*favourite)};
-    const auto chosen = std::visit(
-        [&](const auto& policy) {
-            return policy.choose(std::span<const upstream_view* const>(possible), about, random_);
-        },
-        settings_.placement);
-    if (!chosen.empty() && may_send_directly(*request, *possible[chosen.front()])) {
-        send_directly(request, *possible[chosen.front()]);
-        return;
-    }
-    for (const auto index : chosen) {
-        reserve(request, *possible[index]);
-    }
-    widen_later(request);
-}
-
-bool entry_core::may_send_directly(const entry_request& request, const upstream_view& view) const
-{
-    return is_late_bound() && !request.sent_directly && !request.running && request.dispatches == 0 &&
-           request.reservations.empty() && request.rules.repeat != repeat_rule::never &&
-           view.free_slots > 0 && !view.slowed;
-}
-
-void entry_core::send_directly(const request_ptr& request, const upstream_view& view)
-{
-    request->sent_directly = true;
-    reserve(request, view);
-    const auto direct = request->reservations.back();
-    request->reservations.clear();
-    dispatch(request, direct);
-    // A daemon that is paused says nothing; others are then asked as if it had not been.
-    request->widen_timer = timers_.schedule(now_ + widening_step(*request), [this, request](time_point) {
-        request->widen_timer = 0;
-        const bool unheard = request->running && !request->running->started && request->dispatches == 1;
-        if (!unheard || !may_move(*request)) {
-            return;
-        }
-        const bool hedges = request->rules.repeat == repeat_rule::idempotent;
-        if (!hedges || hedges_.take(static_cast<std::uint8_t>(request->rules.tier))) {
-            place(request);
-        }
-    });
-}
-
-void entry_core::widen_later(const request_ptr& request)
-{
-    if (!is_late_bound() || request->widen_timer != 0) {
-        return;
-    }
-    request->widen_timer = timers_.schedule(now_ + widening_step(*request), [this, request](time_point) {
-        request->widen_timer = 0;
-        if (!request->reservations.empty()) {
-            place(request);
-        }
-    });
-}
-
-void entry_core::give_up_or_wait(const request_ptr& request)
-{
-    if (!request->reservations.empty() || request->running) {
-        return;
-    }
-    if (request->refused_by.empty()) {
-        place_later(request);
-        return;
-    }
-    // Every upstream that it may use has refused it, so waiting would only hold the answer back.
-    fail(request,
-         {request->last_refusal, ran_state::no, std::max(request->longest_refusal, least_retry_after), ""});
-}
-
-void entry_core::reserve(const request_ptr& request, const upstream_view& view)
-{
-    const attempt_id attempt{settings_.incarnation, ++last_attempt_};
-    request->reservations.push_back({view.vm, attempt});
-    attempts_.emplace(attempt, request);
-    attempts_by_vm_[view.vm].insert(attempt);
-    reserve_message message;
-    message.attempt = attempt;
-    message.request_id = request->id;
-    message.workspace = request->workspace;
-    message.workspace_weight = request->workspace_weight;
-    message.class_name = request->rules.name;
-    message.model = request->input.model;
-    message.tier = static_cast<std::uint8_t>(request->rules.tier);
-    message.never_repeat = request->rules.repeat == repeat_rule::never;
-    message.key = request->input.idempotency_key;
-    message.fingerprint = request->fingerprint;
-    message.prompt_tokens = request->input.prompt_tokens;
-    message.quantum_tokens = request->rules.quantum_tokens;
-    message.time_left = request->deadline_at - now_;
-    // A stream that goes on elsewhere has its caller waiting between two tokens.
-    message.target_left = request->head_sent ? urgent_intervals * request->rules.token_interval_target
-                                             : request->target_at - now_;
-    message.starvation_bound = request->rules.starvation_bound;
-    message.prefix_hashes = request->input.prefix_hashes;
-    actions_.emplace_back(send_to_upstream{view.vm, std::move(message)});
-    record(*request, "request.reserved", view.vm, reservation_reason(view, settings_.zone));
-}
-
-void entry_core::place_later(const request_ptr& request)
-{
-    const bool out_of_patience = now_ >= request->arrived + settings_.placement_patience;
-    if (out_of_patience) {
-        fail(request, {request->last_refusal, ran_state::no,
-                       std::max(request->last_retry_after, default_retry_after), ""});
-        return;
-    }
-    request->retry_timer = timers_.schedule(now_ + settings_.placement_interval, [this, request](time_point) {
-        request->retry_timer = 0;
-        place(request);
-    });
-}
-
-void entry_core::withdraw_reservations(entry_request& request, const attempt_id* except)
-{
-    for (const auto& open : request.reservations) {
-        if (except != nullptr && open.attempt == *except) {
-            continue;
-        }
-        forget_attempt(open.vm, open.attempt);
-        actions_.emplace_back(send_to_upstream{open.vm, cancel_message{open.attempt}});
-    }
-    request.reservations.clear();
-}
-
-void entry_core::drop_reservation(const request_ptr& request, attempt_id attempt)
-{
-    for (const auto& open : request->reservations) {
-        if (open.attempt == attempt) {
-            forget_attempt(open.vm, attempt);
-        }
-    }
-    std::erase_if(request->reservations, [&](const reservation& open) { return open.attempt == attempt; });
-    if (!request->reservations.empty() || request->running) {
-        return;
-    }
-    if (request->refused_by.empty()) {
-        place_later(request);
-    } else {
-        place(request);
-    }
+        context_.timers.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
+    requests_.add(request);
+    context_.record(*request, "request.admitted", "", admission_reason(*request));
+    moves_.request_seen();
+    moves_.watch_for_stalls();
+    search_.place(request);
 }
 
-void entry_core::dispatch(const request_ptr& request, const reservation& granted)
+void entry_core::make_room_for(int tier)
 {
-    request->running = running_attempt{granted.vm, granted.attempt};
-    ++request->dispatches;
-    request->received = 0;
-    request->progress_at = now_;
-    prefixes_.sent(request->input.prefix_hashes, granted.vm);
-    request->status = 0;
-    request->first_dispatch_at = std::min(request->first_dispatch_at, now_);
-    dispatch_message message;
-    message.attempt = granted.attempt;
-    message.method = request->input.method;
-    message.path = request->input.path;
-    message.content_type = request->input.content_type;
-    message.body = request->input.body;
-    message.resume_from_token = request->head_sent ? request->tokens : 0;
-    hedge_later(request);
-    actions_.emplace_back(send_to_upstream{granted.vm, std::move(message)});
-    record(*request, "request.dispatched", granted.vm,
-           request->sent_directly && request->dispatches == 1 ? "it reported a free slot"
-                                                              : "first upstream to grant a slot");
+    const auto displaced = requests_.waiting_below(tier);
+    context_.record(*displaced, "request.displaced", "",
+                    "the table is full and a request of a higher tier came");
+    fail(displaced, {result_code::table_full, ran_state::no, displaced_retry_after, ""});
 }
 
-// --- Moves and hedges
-// -----------------------------------------------------------------------------------------
-
-bool entry_core::may_move(const entry_request& request) const
-{
-    const bool started_over_is_free = !request.head_sent && request.first_token_at == never;
-    return request.running && request.reservations.empty() && !request.hedge && !request.caller_left &&
-           request.rules.repeat != repeat_rule::never && request.moves < settings_.max_moves &&
-           (started_over_is_free || can_resume(request));
-}
-
-void entry_core::move_from(const std::string& vm)
-{
-    const auto attempts = attempts_by_vm_[vm];
-    for (const auto attempt : attempts) {
-        const auto request = find_attempt(attempt);
-        if (request != nullptr && is_running(*request, attempt) && may_move(*request)) {
-            place(request);
-        }
-    }
-}
-
-void entry_core::look_for_stalls()
-{
-    stall_timer_ = 0;
-    std::vector<request_ptr> stalled;
-    for (const auto& [caller, request] : requests_) {
-        const auto patience =
-            std::max<duration>(stall_intervals * request->rules.token_interval_target, least_stall);
-        const auto allowed = request->first_token_at == never
-                                 ? std::max(patience, request->rules.first_token_target)
-                                 : patience;
-        if (request->running && now_ - request->progress_at > allowed && request->undrained < max_undrained &&
-            may_move(*request)) {
-            stalled.push_back(request);
-        }
-    }
-    std::ranges::sort(stalled, {}, &entry_request::id);
-    for (const auto& request : stalled) {
-        record(*request, "request.stalled", request->running->vm, "");
-        place(request);
-    }
-    if (!requests_.empty()) {
-        stall_timer_ =
-            timers_.schedule(now_ + stall_check_interval, [this](time_point) { look_for_stalls(); });
-    }
-}
-
-void entry_core::hedge_later(const request_ptr& request)
-{
-    const bool may_hedge = is_late_bound() && request->rules.repeat == repeat_rule::idempotent &&
-                           request->first_token_at == never && request->hedge_timer == 0;
-    if (!may_hedge) {
-        return;
-    }
-    const auto at = std::max(now_, request->arrived + request->rules.first_token_target / 2);
-    request->hedge_timer = timers_.schedule(at, [this, request](time_point) {
-        request->hedge_timer = 0;
-        const bool at_risk = request->running && request->first_token_at == never && !request->hedge &&
-                             request->reservations.empty();
-        if (at_risk && hedges_.take(static_cast<std::uint8_t>(request->rules.tier))) {
-            place(request);
-        }
-    });
-}
-
-void entry_core::take_over(const request_ptr& request, const attempt_id& granted, const std::string& vm)
-{
-    const bool hedges = request->rules.repeat == repeat_rule::idempotent && request->first_token_at == never;
-    withdraw_reservations(*request, &granted);
-    const auto former = *request->running;
-    if (hedges) {
-        const auto status = request->status;
-        request->running.reset();
-        dispatch(request, {vm, granted});
-        --request->dispatches;
-        request->status = status;
-        request->hedge = std::exchange(request->running, former);
-        record(*request, "request.hedged", vm, "");
-        return;
-    }
-    // The answer goes on from the last whole token that the caller was sent. What came since the slot was
-    // asked for may have ended it, or have left no place to go on from.
-    const bool may_go_on = request->head_sent ? can_resume(*request) : request->first_token_at == never;
-    if (!may_go_on) {
-        forget_attempt(vm, granted);
-        actions_.emplace_back(send_to_upstream{vm, cancel_message{granted}});
-        return;
-    }
-    request->ran = std::max(request->ran, ran_so_far(*request));
-    forget_attempt(former.vm, former.attempt);
-    actions_.emplace_back(send_to_upstream{former.vm, cancel_message{former.attempt}});
-    record(*request, "request.moved", vm, "from " + former.vm);
-    request->running.reset();
-    ++request->moves;
-    dispatch(request, {vm, granted});
-    --request->dispatches;
-}
-
-bool entry_core::is_hedge(const entry_request& request, attempt_id attempt) const
-{
-    return request.hedge && request.hedge->attempt == attempt;
-}
-
-void entry_core::settle_hedge(entry_request& request, attempt_id winner)
+void entry_core::handle(const caller_drained& event)
 {
-    if (!request.hedge) {
-        return;
-    }
-    if (request.hedge->attempt == winner) {
-        const auto slower = *request.running;
-        adopt_hedge(request);
-        request.hedge = slower;
+    if (const auto request = requests_.find(event.caller)) {
+        answers_.drained(*request, event.bytes);
     }
-    drop_hedge(request);
-}
-
-void entry_core::adopt_hedge(entry_request& request)
-{
-    request.running = std::exchange(request.hedge, std::nullopt);
-    request.received = 0;
-    request.status = request.running->status;
-    request.content_type = request.running->content_type;
 }
 
-void entry_core::drop_hedge(entry_request& request)
+void entry_core::handle(const caller_gone& event)
 {
-    if (!request.hedge) {
+    const auto request = requests_.find(event.caller);
+    if (request == nullptr) {
         return;
     }
-    // It was dispatched, so it may have run, whatever becomes of the other attempt.
-    request.ran = std::max(request.ran, ran_state::unknown);
-    forget_attempt(request.hedge->vm, request.hedge->attempt);
-    actions_.emplace_back(send_to_upstream{request.hedge->vm, cancel_message{request.hedge->attempt}});
-    request.hedge.reset();
-}
-
-void entry_core::forget_attempt(const std::string& vm, attempt_id attempt)
-{
-    attempts_.erase(attempt);
-    if (const auto found = attempts_by_vm_.find(vm); found != attempts_by_vm_.end()) {
-        found->second.erase(attempt);
-    }
+    request->caller_left = true;
+    // A never-repeat run goes on at its upstream daemon, which keeps the outcome.
+    const auto ran = request->running ? ran_state::unknown : ran_state::no;
+    finish(request, result_code::cancelled, std::max(request->ran, ran));
 }
 
-// --- Messages of upstream daemons
-// -----------------------------------------------------------------------------
+// --- Upstreams
 
 void entry_core::handle(const upstream_connected& event)
 {
-    auto& view = upstreams_[event.vm];
-    view.vm = event.vm;
+    pools_.connected(event.vm);
 }
 
 void entry_core::handle(const upstream_disconnected& event)
 {
-    const auto found = upstreams_.find(event.vm);
-    if (found == upstreams_.end()) {
-        return;
+    if (pools_.disconnected(event.vm)) {
+        context_.act(emit_record{{"upstream.disconnected", "", "", "", event.vm, ""}});
     }
-    if (std::exchange(found->second.connected, false)) {
-        actions_.emplace_back(emit_record{{"upstream.disconnected", "", "", "", event.vm, ""}});
-    }
-    const auto affected = std::exchange(attempts_by_vm_[event.vm], {});
-    for (const auto attempt : affected) {
-        const auto request = find_attempt(attempt);
+    for (const auto attempt : attempts_.at(event.vm)) {
+        const auto request = attempts_.find(attempt);
         if (request == nullptr) {
             continue;
         }
-        if (is_hedge(*request, attempt)) {
-            drop_hedge(*request);
-        } else if (is_running(*request, attempt)) {
+        if (request->is_hedged_by(attempt)) {
+            moves_.drop_hedge(*request);
+        } else if (request->runs_as(attempt)) {
             attempt_lost(request, result_code::upstream_lost, ran_so_far(*request));
         } else {
-            drop_reservation(request, attempt);
+            search_.drop(request, attempt);
         }
     }
 }
 
 void entry_core::handle(const upstream_leaving& event)
 {
+    pools_.set_leaving(event.vm, event.is_leaving);
     if (!event.is_leaving) {
-        leaving_upstreams_.erase(event.vm);
         return;
     }
-    leaving_upstreams_.insert(event.vm);
-    std::vector<std::pair<attempt_id, request_ptr>> waiting;
-    for (const auto& [attempt, request] : attempts_) {
-        for (const auto& open : request->reservations) {
-            if (open.attempt == attempt && open.vm == event.vm) {
-                waiting.emplace_back(attempt, request);
-            }
+    for (const auto attempt : attempts_.at(event.vm)) {
+        const auto request = attempts_.find(attempt);
+        const bool waits =
+            request != nullptr && !request->runs_as(attempt) && !request->is_hedged_by(attempt);
+        if (waits) {
+            context_.send(event.vm, cancel_message{attempt});
+            search_.drop(request, attempt);
         }
     }
-    for (const auto& [attempt, request] : waiting) {
-        actions_.emplace_back(send_to_upstream{event.vm, cancel_message{attempt}});
-        drop_reservation(request, attempt);
-    }
 }
 
 void entry_core::handle(const upstream_said& event)
@@ -702,122 +138,109 @@
 
 void entry_core::on_message(const std::string& vm, const hello_message& message)
 {
-    auto& view = upstreams_[vm];
-    view.vm = vm;
-    view.zone = message.zone;
-    view.region = message.region;
-    view.incarnation = message.incarnation;
-    const auto former_models = std::exchange(view.models, message.models);
-    join_pools(view, former_models);
-    view.slots = message.slots;
-    view.free_slots = message.slots;
-    view.queued = 0;
-    view.leaving = message.leaving;
-    view.connected = true;
-    actions_.emplace_back(emit_record{{"upstream.connected", "", "", "", vm,
-                                       std::to_string(message.slots) + " slots, zone " + message.zone}});
+    pools_.introduced(vm, message);
+    context_.act(emit_record{{"upstream.connected", "", "", "", vm,
+                              std::to_string(message.slots) + " slots, zone " + message.zone}});
 }
 
 void entry_core::on_message(const std::string& vm, const load_message& message)
 {
-    const auto found = upstreams_.find(vm);
-    if (found == upstreams_.end()) {
+    const auto change = pools_.reported(vm, message);
+    if (change == upstream_pools::pace_change::none) {
         return;
     }
-    auto& view = found->second;
-    view.free_slots = message.free_slots;
-    view.queued = message.queued;
-    view.expected_wait = message.expected_wait;
-    view.yields_tier = message.yields_tier;
-    const bool newly_slowed = message.slowed && !view.slowed;
-    if (std::exchange(view.slowed, message.slowed) != message.slowed) {
-        actions_.emplace_back(
-            emit_record{{message.slowed ? "upstream.slowed" : "upstream.recovered", "", "", "", vm, ""}});
-    }
-    view.leaving = message.leaving;
-    if (newly_slowed && is_late_bound()) {
-        move_from(vm);
+    const bool slowed = change == upstream_pools::pace_change::slowed;
+    context_.act(emit_record{{slowed ? "upstream.slowed" : "upstream.recovered", "", "", "", vm, ""}});
+    if (slowed && context_.is_late_bound()) {
+        moves_.move_from(vm);
     }
 }
 
 void entry_core::on_message(const std::string& vm, const granted_message& message)
 {
-    const auto request = find_attempt(message.attempt);
-    if (request != nullptr && is_running(*request, message.attempt)) {
+    const auto request = attempts_.find(message.attempt);
+    if (request != nullptr && request->runs_as(message.attempt)) {
         return; // A repetition of the grant that was taken.
     }
     const bool is_open = request != nullptr &&
                          std::ranges::find(request->reservations, message.attempt, &reservation::attempt) !=
                              request->reservations.end();
     if (!is_open) {
-        actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
+        context_.send(vm, cancel_message{message.attempt});
         return;
     }
     if (request->running) {
-        take_over(request, message.attempt, vm);
+        moves_.take_over(request, message.attempt, vm);
         return;
     }
-    withdraw_reservations(*request, &message.attempt);
-    dispatch(request, {vm, message.attempt});
+    search_.withdraw(*request, &message.attempt);
+    moves_.dispatch(request, {vm, message.attempt});
 }
 
 void entry_core::on_message(const std::string& vm, const refused_message& message)
 {
-    const auto request = find_attempt(message.attempt);
+    const auto request = attempts_.find(message.attempt);
     if (request == nullptr) {
         return;
     }
-    record(*request, "request.refused", vm, refusal_reason(message));
+    context_.record(*request, "request.refused", vm, refusal_reason(message));
     request->last_refusal = message.code;
     request->last_retry_after = message.retry_after;
     if (message.code == result_code::overloaded && message.retry_after > duration::zero()) {
         request->refused_by.insert(vm);
         request->longest_refusal = std::max(request->longest_refusal, message.retry_after);
     }
-    if (is_hedge(*request, message.attempt)) {
+    if (request->is_hedged_by(message.attempt)) {
         const auto ran_before = request->ran;
-        drop_hedge(*request);
+        moves_.drop_hedge(*request);
         request->ran = ran_before; // A refused attempt never started.
         return;
     }
-    if (is_running(*request, message.attempt)) {
-        // Refused after the dispatch: it never started, so it does not count as an attempt that ran.
-        forget_attempt(vm, message.attempt);
-        --request->dispatches;
-        const bool was_direct = request->sent_directly && request->dispatches == 0;
-        request->running.reset();
-        if (request->hedge) {
-            adopt_hedge(*request); // The other attempt goes on in its place.
-            return;
-        }
-        if (was_direct && request->reservations.empty()) {
-            timers_.cancel(std::exchange(request->widen_timer, 0));
-            place(request);
-            return;
-        }
+    if (request->runs_as(message.attempt) && running_attempt_refused(request, message.attempt, vm)) {
+        return;
     }
-    drop_reservation(request, message.attempt);
+    search_.drop(request, message.attempt);
+}
+
+bool entry_core::running_attempt_refused(const entry_request_ptr& request, const attempt_id& attempt,
+                                         const std::string& vm)
+{
+    // Refused after the dispatch: it never started, so it does not count as an attempt that ran.
+    attempts_.close(vm, attempt);
+    --request->dispatches;
+    const bool was_direct = request->sent_directly && request->dispatches == 0;
+    request->running.reset();
+    if (request->hedge) {
+        attempt_moves::adopt_hedge(*request); // The other attempt goes on in its place.
+        return true;
+    }
+    if (was_direct && request->reservations.empty()) {
+        context_.timers.cancel(std::exchange(request->widen_timer, 0));
+        search_.place(request);
+        return true;
+    }
+    return false;
 }
 
 void entry_core::on_message(const std::string& vm, const started_message& message)
 {
-    const auto request = find_attempt(message.attempt);
-    if (request == nullptr || !is_running(*request, message.attempt)) {
+    const auto request = attempts_.find(message.attempt);
+    if (request == nullptr || !request->runs_as(message.attempt)) {
         return;
     }
     request->running->started = true;
-    record(*request, "request.started", vm, "");
+    context_.record(*request, "request.started", vm, "");
 }
 
 void entry_core::on_message(const std::string& /*vm*/, const head_message& message)
 {
-    const auto request = find_attempt(message.attempt);
-    if (request != nullptr && is_hedge(*request, message.attempt)) {
+    const auto request = attempts_.find(message.attempt);
+    if (request != nullptr && request->is_hedged_by(message.attempt)) {
         request->hedge->status = message.status;
         request->hedge->content_type = message.content_type;
         return;
     }
-    if (request == nullptr || !is_running(*request, message.attempt)) {
+    if (request == nullptr || !request->runs_as(message.attempt)) {
         return;
     }
     request->status = message.status;
@@ -826,164 +249,88 @@
 
 void entry_core::on_message(const std::string& vm, const chunk_message& message)
 {
-    const auto request = find_attempt(message.attempt);
+    const auto request = attempts_.find(message.attempt);
     if (request == nullptr) {
         return;
     }
-    if (is_hedge(*request, message.attempt)) {
-        settle_hedge(*request, message.attempt);
+    if (request->is_hedged_by(message.attempt)) {
+        moves_.settle_hedge(*request, message.attempt);
     }
-    if (!is_running(*request, message.attempt)) {
+    if (!request->runs_as(message.attempt)) {
         return;
     }
-    request->progress_at = now_;
+    request->progress_at = context_.now;
     if (message.offset + message.bytes.size() <= request->received) {
         return; // Delivered before.
     }
     if (message.offset != request->received) {
         // A gap or a repetition can only come from a fault of the peer; the answer would not be the
         // upstream's.
-        actions_.emplace_back(send_to_upstream{vm, cancel_message{message.attempt}});
+        context_.send(vm, cancel_message{message.attempt});
         attempt_lost(request, result_code::answer_truncated, ran_state::yes);
         return;
     }
     request->received += message.bytes.size();
     request->tokens = message.tokens;
     if (request->first_token_at == never) {
-        request->first_token_at = now_;
-        settle_hedge(*request, message.attempt);
-        record(*request, "request.first_token", vm, target_reason(*request));
+        request->first_token_at = context_.now;
+        moves_.settle_hedge(*request, message.attempt);
+        context_.record(*request, "request.first_token", vm, target_reason(*request));
     }
-    deliver(*request, message.bytes);
+    answers_.deliver(*request, message.bytes);
 }
 
 void entry_core::on_message(const std::string& /*vm*/, const finished_message& message)
 {
-    const auto request = find_attempt(message.attempt);
-    if (request != nullptr && is_hedge(*request, message.attempt)) {
-        drop_hedge(*request);
+    const auto request = attempts_.find(message.attempt);
+    if (request != nullptr && request->is_hedged_by(message.attempt)) {
+        moves_.drop_hedge(*request);
         return;
     }
-    if (request == nullptr || !is_running(*request, message.attempt)) {
+    if (request == nullptr || !request->runs_as(message.attempt)) {
         return;
     }
     if (message.code == result_code::ok) {
-        complete(request);
+        answers_.complete(*request);
+        finish(request, result_code::ok, ran_state::yes);
         return;
     }
     attempt_lost(request, message.code, message.ran);
 }
 
-// --- Answers
-// --------------------------------------------------------------------------------------------------
+// --- The search for slots
 
-header_list entry_core::answer_headers(const entry_request& request) const
+void entry_core::on_slot_taken(const entry_request_ptr& request, const reservation& taken)
 {
-    header_list headers{{"Content-Type", request.content_type}, {"Clementinegap-Request-Id", request.id}};
-    add_sunset(headers);
-    return headers;
+    moves_.dispatch(request, taken);
 }
 
-void entry_core::add_sunset(header_list& headers) const
+void entry_core::on_no_slot(const entry_request_ptr& request, const failure_notice& notice)
 {
-    if (configuration_ != nullptr && configuration_->shutdown.ends_at) {
-        headers.emplace_back("Sunset", http_date(*configuration_->shutdown.ends_at));
-    }
+    fail(request, notice);
 }
 
-void entry_core::send_head(entry_request& request)
+bool entry_core::may_ask_beside(const entry_request& request)
 {
-    request.head_sent = true;
-    actions_.emplace_back(answer_head{request.input.caller, request.status, answer_headers(request)});
+    return moves_.may_ask_beside(request);
 }
 
-void entry_core::deliver(entry_request& request, std::string bytes)
-{
-    if (request.caller_left) {
-        const auto size = static_cast<std::uint32_t>(bytes.size());
-        actions_.emplace_back(
-            send_to_upstream{request.running->vm, credit_message{request.running->attempt, size}});
-        return;
-    }
-    const bool hold = !is_stream(request.content_type) && !request.head_sent &&
-                      request.held.size() + bytes.size() <= settings_.max_held_bytes;
-    if (hold) {
-        const auto size = static_cast<std::uint32_t>(bytes.size());
-        request.held += bytes;
-        actions_.emplace_back(
-            send_to_upstream{request.running->vm, credit_message{request.running->attempt, size}});
-        return;
-    }
-    if (!request.head_sent) {
-        send_head(request);
-    }
-    if (!request.held.empty()) {
-        request.undrained += request.held.size();
-        actions_.emplace_back(answer_bytes{request.input.caller, std::exchange(request.held, {})});
-    }
-    request.undrained += bytes.size();
-    // After the end mark nothing is left to go on with.
-    request.at_event_end = bytes.ends_with("\n\n") && bytes.find("[DONE]") == std::string::npos;
-    actions_.emplace_back(answer_bytes{request.input.caller, std::move(bytes)});
-}
-
-void entry_core::handle(const caller_drained& event)
-{
-    const auto found = requests_.find(event.caller);
-    if (found == requests_.end()) {
-        return;
-    }
-    auto& undrained = found->second->undrained;
-    undrained -= std::min<std::uint64_t>(undrained, event.bytes);
-    if (!found->second->running) {
-        return;
-    }
-    const auto& running = *found->second->running;
-    actions_.emplace_back(send_to_upstream{running.vm, credit_message{running.attempt, event.bytes}});
-}
+// --- Ends
 
-void entry_core::complete(const request_ptr& request)
-{
-    if (!request->caller_left) {
-        if (request->head_sent) {
-            actions_.emplace_back(answer_end{request->input.caller});
-        } else {
-            actions_.emplace_back(answer_whole{request->input.caller, request->status,
-                                               answer_headers(*request), std::exchange(request->held, {})});
-        }
-    }
-    finish(request, result_code::ok, ran_state::yes);
-}
-
-bool entry_core::may_start_again(const entry_request& request, ran_state ran) const
-{
-    const bool may_repeat = request.rules.repeat != repeat_rule::never || ran == ran_state::no;
-    return may_repeat && !request.caller_left && (!request.head_sent || can_resume(request)) &&
-           request.dispatches < settings_.max_dispatches;
-}
-
-bool entry_core::can_resume(const entry_request& request) const
-{
-    return is_late_bound() && !request.rules.is_service && is_stream(request.content_type) &&
-           request.at_event_end;
-}
-
-void entry_core::attempt_lost(const request_ptr& request, result_code code, ran_state ran)
+void entry_core::attempt_lost(const entry_request_ptr& request, result_code code, ran_state ran)
 {
     const auto lost = *request->running;
-    forget_attempt(lost.vm, lost.attempt);
+    attempts_.close(lost.vm, lost.attempt);
     request->running.reset();
-    record(*request, "request.attempt_lost", lost.vm, std::string(describe(code).name));
+    context_.record(*request, "request.attempt_lost", lost.vm, describe(code).name);
     request->last_refusal = code;
     request->ran = std::max(request->ran, ran);
     if (request->hedge) {
-        // The other attempt goes on in its place.
-        adopt_hedge(*request);
+        attempt_moves::adopt_hedge(*request); // The other attempt goes on in its place.
         return;
     }
-    const bool within_budget =
-        !is_late_bound() || retries_.take(static_cast<std::uint8_t>(request->rules.tier));
-    if (!may_start_again(*request, ran) || !within_budget) {
+    const bool within_budget = moves_.take_retry(*request);
+    if (!moves_.may_start_again(*request, ran) || !within_budget) {
         fail(request, {code, ran, duration::zero(), ""});
         return;
     }
@@ -993,127 +340,87 @@
     }
     request->refused_by.clear();
     if (request->reservations.empty()) {
-        place(request);
+        search_.place(request);
     }
 }
 
-void entry_core::on_deadline(const request_ptr& request)
+void entry_core::on_deadline(const entry_request_ptr& request)
 {
     request->deadline_timer = 0;
-    auto ran = ran_state::no;
-    if (request->running) {
-        ran = ran_so_far(*request);
-    }
+    const auto ran = request->running ? ran_so_far(*request) : ran_state::no;
     fail(request, {result_code::deadline_expired, ran, duration::zero(), ""});
 }
 
-void entry_core::fail(const request_ptr& request, const failure_notice& cause)
+void entry_core::fail(const entry_request_ptr& request, const failure_notice& cause)
 {
     auto notice = cause;
-    drop_hedge(*request);
+    moves_.drop_hedge(*request);
     notice.ran = std::max(request->ran, cause.ran);
     if (is_keyed_run(request->rules, request->input)) {
         notice.ran = ran_for_key(cause.code, notice.ran);
     }
-    if (!request->caller_left) {
-        if (!request->head_sent) {
-            auto answer = failure_answer(request->input.caller, notice, request->id);
-            add_sunset(answer.headers);
-            actions_.emplace_back(std::move(answer));
-        } else if (is_stream(request->content_type)) {
-            actions_.emplace_back(
-                answer_bytes{request->input.caller, failure_stream_event(notice, request->id)});
-            actions_.emplace_back(answer_end{request->input.caller});
-        } else {
-            actions_.emplace_back(answer_abort{request->input.caller});
-        }
-    }
+    answers_.fail(*request, notice);
     finish(request, notice.code, notice.ran);
 }
 
-void entry_core::finish(const request_ptr& request, result_code code, ran_state ran)
+void entry_core::finish(const entry_request_ptr& request, result_code code, ran_state ran)
 {
-    withdraw_reservations(*request, nullptr);
+    search_.withdraw(*request, nullptr);
     if (request->running) {
-        forget_attempt(request->running->vm, request->running->attempt);
+        attempts_.close(request->running->vm, request->running->attempt);
         if (code != result_code::ok) {
-            actions_.emplace_back(
-                send_to_upstream{request->running->vm, cancel_message{request->running->attempt}});
+            context_.send(request->running->vm, cancel_message{request->running->attempt});
         }
         request->running.reset();
     }
-    drop_hedge(*request);
-    timers_.cancel(std::exchange(request->widen_timer, 0));
-    timers_.cancel(std::exchange(request->hedge_timer, 0));
-    timers_.cancel(std::exchange(request->deadline_timer, 0));
-    timers_.cancel(std::exchange(request->retry_timer, 0));
-    const bool has_token = request->first_token_at != never;
-    request_measured measured;
-    measured.class_name = request->rules.name;
-    measured.code = code;
-    measured.ran = ran;
-    measured.first_token = has_token ? request->first_token_at - request->arrived : duration::zero();
-    measured.total = now_ - request->arrived;
-    measured.tokens = request->tokens;
-    measured.tier = request->rules.tier;
-    measured.queue_wait = std::min(request->first_dispatch_at, now_) - request->arrived;
-    measured.dispatches = request->dispatches;
-    measured.wasted_tokens = request->wasted_tokens + (code == result_code::ok ? 0 : request->tokens);
-    measured.target_met =
-        code == result_code::ok && has_token && request->first_token_at <= request->target_at;
-    actions_.emplace_back(measured);
-    record(*request, "request.ended", "",
-           std::string(describe(code).name) + ", ran " + std::string(to_string(ran)));
+    moves_.drop_hedge(*request);
+    cancel_timers(*request);
+    context_.act(summary_of(*request, code, ran, context_.now));
+    context_.record(*request, "request.ended", "",
+                    std::string(describe(code).name) + ", ran " + std::string(to_string(ran)));
     requests_.erase(request->input.caller);
     if (draining_ && requests_.empty()) {
-        actions_.emplace_back(drained{});
+        context_.act(drained{});
     }
 }
 
-// --- The rest
-// -------------------------------------------------------------------------------------------------
-
-void entry_core::handle(const caller_gone& event)
+void entry_core::cancel_timers(entry_request& request)
 {
-    const auto found = requests_.find(event.caller);
-    if (found == requests_.end()) {
-        return;
+    for (auto* timer :
+         {&request.widen_timer, &request.hedge_timer, &request.deadline_timer, &request.retry_timer}) {
+        context_.timers.cancel(std::exchange(*timer, 0));
     }
-    const auto request = found->second;
-    request->caller_left = true;
-    // A never-repeat run goes on at its upstream daemon, which keeps the outcome.
-    const auto ran = request->running ? ran_state::unknown : ran_state::no;
-    finish(request, result_code::cancelled, std::max(request->ran, ran));
 }
 
+// --- The daemon
+
 void entry_core::handle(const configuration_applied& event)
 {
-    const bool newer = configuration_ == nullptr || event.value->version > configuration_->version;
+    const bool newer = context_.rules == nullptr || event.value->version > context_.rules->version;
     if (!newer) {
         return;
     }
-    configuration_ = event.value;
-    index_configuration();
-    actions_.emplace_back(emit_record{
-        {"configuration.applied", "", "", "", "", "version " + std::to_string(configuration_->version)}});
+    context_.rules = event.value;
+    admission_.index_configuration();
+    context_.act(emit_record{
+        {"configuration.applied", "", "", "", "", "version " + std::to_string(context_.rules->version)}});
 }
 
 void entry_core::handle(const drain_started& /*event*/)
 {
-    if (draining_) {
+    if (std::exchange(draining_, true)) {
         return;
     }
-    draining_ = true;
-    actions_.emplace_back(emit_record{{"drain.started", "", "", "", "", ""}});
+    context_.act(emit_record{{"drain.started", "", "", "", "", ""}});
     if (requests_.empty()) {
-        actions_.emplace_back(drained{});
+        context_.act(drained{});
     }
 }
 
 void entry_core::handle(const soft_item_seen& event)
 {
-    limits_.item_seen(event.item, now_);
-    poison_.on_item(event.item, now_);
+    admission_.item_seen(event.item);
+    search_.item_seen(event.item);
 }
 
 void entry_core::handle(const tick& /*event*/)
@@ -1121,27 +428,4 @@
     // Due timers run before every event.
 }
 
-entry_core::request_ptr entry_core::find_attempt(attempt_id attempt) const
-{
-    const auto found = attempts_.find(attempt);
-    return found == attempts_.end() ? nullptr : found->second;
-}
-
-bool entry_core::is_running(const entry_request& request, attempt_id attempt) const
-{
-    return request.running && request.running->attempt == attempt;
-}
-
-void entry_core::record(const entry_request& request, std::string kind, std::string upstream,
-                        std::string detail)
-{
-    actions_.emplace_back(emit_record{{std::move(kind), request.id, request.rules.name, request.workspace,
-                                       std::move(upstream), std::move(detail)}});
-}
-
-std::string entry_core::new_request_id()
-{
-    return hexadecimal(settings_.incarnation) + hexadecimal(++last_request_).substr(4);
-}
-
 } // namespace clementinegap
--- a/request/entry_request.h
+++ b/request/entry_request.h
@@ -6,6 +6,7 @@
 #include "request/messages.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -67,6 +68,11 @@
     timer_service::timer_id retry_timer{0};
     timer_service::timer_id widen_timer{0};
     timer_service::timer_id hedge_timer{0};
+
+    bool runs_as(attempt_id attempt) const { return running && running->attempt == attempt; }
+    bool is_hedged_by(attempt_id attempt) const { return hedge && hedge->attempt == attempt; }
 };
 
+using entry_request_ptr = std::shared_ptr<entry_request>;
+
 } // namespace clementinegap
--- /dev/null
+++ b/request/request_summary.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "request/entry_request.h"
+
+namespace clementinegap {
+
+/// What metrics are told of a request that has ended at `now`.
+request_measured summary_of(const entry_request& request, result_code code, ran_state ran, time_point now);
+
+} // namespace clementinegap
--- a/request/upstream_attempt.h
+++ b/request/upstream_attempt.h
@@ -46,6 +46,13 @@
     bool answer_dropped{false}; ///< The answer has grown past what is kept.
     time_point watching_since{never};
     timer_service::timer_id timer{0};
+
+    /// Whether its outcome is kept under the caller's idempotency key.
+    bool is_keyed() const { return reservation.never_repeat && !reservation.key.empty(); }
+    bool holds_slot() const { return phase == attempt_phase::granted || phase == attempt_phase::running; }
+    bool at_engine() const { return phase == attempt_phase::running || phase == attempt_phase::set_aside; }
+    /// Waits in the order of work for a slot, for the first time or for its next slice.
+    bool is_queued() const { return phase == attempt_phase::queued || phase == attempt_phase::set_aside; }
 };
 
 } // namespace clementinegap
--- a/slopes/request_pipeline.cpp
+++ b/slopes/request_pipeline.cpp
@@ -55,7 +55,7 @@
         settings.models = {"assistant"};
         settings.slots = ample_slots;
         settings.max_queue = ample_slots;
-        const auto at = upstreams_.emplace(settings.vm, upstream_core(settings)).first;
+        const auto at = upstreams_.try_emplace(settings.vm, settings).first;
         upstream_event_in(at->first, configuration_applied{rules});
     }
     for (std::size_t i = 0; i < views; ++i) {
--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -46,9 +46,9 @@
 
 process_deployment::process_deployment(const std::string& engine_url, std::size_t max_body,
                                        duration receive_timeout)
-    : entry_(entry_core(entry_values()), ring_capacity,
+    : entry_(entry_values(), ring_capacity,
              [this](const entry_action& action, time_point) { perform(action); }),
-      upstream_(upstream_core(upstream_values()), ring_capacity,
+      upstream_(upstream_values(), ring_capacity,
                 [this](const upstream_action& action, time_point) { perform(action); }),
       callers_([this](entry_event event) { return entry_.post(std::move(event)); }),
       engine_(engine_url, [this](upstream_event event) { return upstream_.post(std::move(event)); }),
--- /dev/null
+++ b/tests/request/test_attempt_moves.cpp
@@ -0,0 +1,240 @@
+#include "request/attempt_moves.h"
+
+#include "request/core_parts_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <vector>
+
+using namespace clementinegap;
+using namespace clementinegap::part_tests;
+
+namespace {
+
+constexpr std::array upstream_names{"u1", "u2", "u3", "u4", "u5", "u6"};
+
+/// Six upstreams of one slot each; a search and the moves on top of it, without the rest of the core.
+struct a_search_among_six : private slot_search_owner {
+    a_search_among_six() : context(settings()), moves(context, attempts, requests, search)
+    {
+        context.now = start;
+        for (const auto* vm : upstream_names) {
+            hello_message hello;
+            hello.models = {"assistant"};
+            hello.slots = 1;
+            pools.introduced(vm, hello);
+        }
+        requests.add(request);
+        request->input.model = "assistant";
+    }
+
+    static entry_settings settings()
+    {
+        entry_settings values;
+        values.placement_patience = seconds(1);
+        return values;
+    }
+
+    void no_slot_is_free()
+    {
+        for (const auto* vm : upstream_names) {
+            pools.reported(vm, load_message{});
+        }
+    }
+
+    void until(duration after)
+    {
+        context.now = start + after;
+        context.timers.run_due(context.now);
+    }
+
+    void granted(const reservation& open) { moves.take_over(request, open.attempt, open.vm); }
+
+    void on_slot_taken(const entry_request_ptr& taken, const reservation& slot) override
+    {
+        moves.dispatch(taken, slot);
+    }
+    void on_no_slot(const entry_request_ptr& /*request*/, const failure_notice& notice) override
+    {
+        failures.push_back(notice);
+    }
+    bool may_ask_beside(const entry_request& asked) override { return moves.may_ask_beside(asked); }
+
+    entry_context context;
+    upstream_pools pools;
+    attempt_table attempts{1};
+    request_table requests{8};
+    slot_search search{context, pools, attempts, *this};
+    attempt_moves moves;
+    entry_request_ptr request{request_of(1)};
+    std::vector<failure_notice> failures;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_search_for_slots)
+
+BOOST_FIXTURE_TEST_CASE(takes_a_slot_that_is_known_to_be_free_at_once, a_search_among_six)
+{
+    search.place(request);
+    BOOST_TEST(sent_upstream<reserve_message>(context).size() == 1U);
+    BOOST_TEST(sent_upstream<dispatch_message>(context).size() == 1U);
+    BOOST_TEST(request->running.has_value());
+    BOOST_TEST_CONTEXT("and asks another when nothing is heard of it")
+    {
+        until(seconds(1));
+        BOOST_TEST(sent_upstream<reserve_message>(context).size() > 1U);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(never_sends_a_run_that_may_not_repeat_without_a_grant, a_search_among_six)
+{
+    request->rules.repeat = repeat_rule::never;
+    search.place(request);
+    BOOST_TEST(!request->reservations.empty());
+    BOOST_TEST(sent_upstream<dispatch_message>(context).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(widens_while_none_grants_and_gives_up_when_all_refuse, a_search_among_six)
+{
+    no_slot_is_free();
+    search.place(request);
+    BOOST_REQUIRE(request->reservations.size() < upstream_names.size());
+    until(seconds(1));
+    BOOST_REQUIRE(request->reservations.size() == upstream_names.size());
+    request->last_refusal = result_code::overloaded;
+    request->longest_refusal = seconds(2);
+    for (const auto& open : std::vector(request->reservations)) {
+        request->refused_by.insert(open.vm);
+        search.drop(request, open.attempt);
+    }
+    BOOST_REQUIRE(failures.size() == 1U);
+    BOOST_TEST((failures[0].code == result_code::overloaded));
+    BOOST_TEST((failures[0].retry_after == seconds(2)));
+    BOOST_TEST((failures[0].ran == ran_state::no));
+}
+
+BOOST_FIXTURE_TEST_CASE(waits_a_little_while_no_upstream_is_reachable, a_search_among_six)
+{
+    for (const auto* vm : upstream_names) {
+        pools.disconnected(vm);
+    }
+    search.place(request);
+    until(milliseconds(900));
+    BOOST_TEST(failures.empty());
+    until(milliseconds(1100));
+    BOOST_REQUIRE(failures.size() == 1U);
+    BOOST_TEST((failures[0].ran == ran_state::no));
+}
+
+BOOST_FIXTURE_TEST_CASE(withdraws_what_it_does_not_need, a_search_among_six)
+{
+    no_slot_is_free();
+    search.place(request);
+    until(seconds(1));
+    const auto open = request->reservations;
+    search.withdraw(*request, &open[0].attempt);
+    BOOST_TEST(sent_upstream<cancel_message>(context).size() == open.size() - 1);
+    BOOST_TEST(attempts.find(open[0].attempt) == request);
+    BOOST_TEST(attempts.find(open[1].attempt) == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(moves_and_hedges)
+
+BOOST_FIXTURE_TEST_CASE(a_stream_moves_only_where_its_caller_can_go_on, a_search_among_six)
+{
+    search.place(request);
+    request->head_sent = true;
+    request->content_type = "text/event-stream";
+    request->first_token_at = start;
+    request->status = 200;
+    request->at_event_end = false;
+    BOOST_TEST(!moves.may_move(*request));
+    request->at_event_end = true;
+    BOOST_TEST(moves.may_move(*request));
+    BOOST_TEST_CONTEXT("nor does a run that may not be repeated")
+    {
+        request->rules.repeat = repeat_rule::never;
+        BOOST_TEST(!moves.may_move(*request));
+        request->rules.repeat = repeat_rule::repeatable;
+    }
+    const auto former = request->running->vm;
+    moves.move_from(former);
+    BOOST_REQUIRE(!request->reservations.empty());
+    request->tokens = 5;
+    granted(request->reservations.front());
+    BOOST_TEST(request->running->vm != former);
+    BOOST_TEST(request->moves == 1U);
+    BOOST_TEST(request->dispatches == 1U);
+    BOOST_TEST((request->ran == ran_state::yes));
+    BOOST_TEST(sent_upstream<dispatch_message>(context).back().resume_from_token == 5U);
+    BOOST_TEST(!sent_upstream<cancel_message>(context).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slot_comes_too_late_for_an_answer_that_went_on, a_search_among_six)
+{
+    search.place(request);
+    moves.move_from(request->running->vm);
+    const auto open = request->reservations.front();
+    const auto running = request->running->attempt;
+    request->first_token_at = start;
+    granted(open);
+    BOOST_TEST(request->runs_as(running));
+    BOOST_TEST(attempts.find(open.attempt) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_first_token_decides_between_a_run_and_its_hedge, a_search_among_six)
+{
+    request->rules.repeat = repeat_rule::idempotent;
+    search.place(request);
+    const auto first = request->running->attempt;
+    moves.move_from(request->running->vm);
+    granted(request->reservations.front());
+    BOOST_REQUIRE(request->hedge.has_value());
+    const auto second = request->hedge->attempt;
+    BOOST_TEST(request->runs_as(first));
+    BOOST_TEST_CONTEXT("the hedge wins")
+    {
+        moves.settle_hedge(*request, second);
+        BOOST_TEST(request->runs_as(second));
+        BOOST_TEST(!request->hedge.has_value());
+        BOOST_TEST(attempts.find(first) == nullptr);
+        BOOST_TEST((request->ran == ran_state::unknown));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(retries_end_with_their_number_and_their_budget, a_search_among_six)
+{
+    BOOST_TEST(moves.may_start_again(*request, ran_state::unknown));
+    request->rules.repeat = repeat_rule::never;
+    BOOST_TEST(!moves.may_start_again(*request, ran_state::unknown));
+    BOOST_TEST(moves.may_start_again(*request, ran_state::no));
+    request->dispatches = context.settings.max_dispatches;
+    BOOST_TEST(!moves.may_start_again(*request, ran_state::no));
+    int taken = 0;
+    while (moves.take_retry(*request)) {
+        ++taken;
+    }
+    BOOST_TEST(taken == static_cast<int>(context.settings.budget_depth));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_stands_still_is_moved_unless_its_caller_is_slow, a_search_among_six)
+{
+    search.place(request);
+    request->running->started = true;
+    request->head_sent = true;
+    request->content_type = "text/event-stream";
+    request->first_token_at = start;
+    moves.watch_for_stalls();
+    request->undrained = 1U << 20U;
+    until(seconds(3));
+    BOOST_TEST(request->reservations.empty());
+    request->undrained = 0;
+    until(seconds(6));
+    BOOST_TEST(!request->reservations.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
