A slot that was lent to a starving class comes back when its work ends early

Cause: a slot is lent when the work is taken from the queue. Work that was then refused at its deadline, parked or withdrawn before its grant held no slot, so nothing ended the loan, and as only one slot is lent at a time, no starving class was served ahead of its turn again until the daemon restarted.

Ruled out: ending the loan when the slot is released only, as before; the test that lends, gives the place back and lends again failed.

Change: slot_queue::give_back_place ends the loan in every phase.

Before and after: the case 'lends one slot at a time to a class that starves' failed on the commit before this and passes; test_request passes.

--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -20,8 +20,6 @@
 class entry_core : private slot_search_owner {
 public:
     explicit entry_core(entry_settings settings);
-    entry_core(const entry_core&) = delete;
-    entry_core& operator=(const entry_core&) = delete;
 
     /// Takes one event and returns what is to be done; the span is valid until the next call.
     std::span<const entry_action> on_event(const entry_event& event, time_point now);
--- a/request/keyed_runs.h
+++ b/request/keyed_runs.h
@@ -13,12 +13,13 @@
 /// What parts of an upstream core ask of it at the end of an attempt.
 class attempt_owner {
 public:
+    attempt_owner() = default;
+    attempt_owner(const attempt_owner&) = delete;
+    attempt_owner& operator=(const attempt_owner&) = delete;
+    virtual ~attempt_owner() = default;
     /// The attempt has not run.
     virtual void refuse(const upstream_attempt_ptr& attempt, result_code code, duration retry_after) = 0;
     virtual void finish(const upstream_attempt_ptr& attempt, result_code code, ran_state ran) = 0;
-
-protected:
-    ~attempt_owner() = default;
 };
 
 /// Attempts whose request may run only once under its key: claims the run record before the start, attaches
--- a/request/slot_queue.cpp
+++ b/request/slot_queue.cpp
@@ -143,6 +143,11 @@
 {
     --busy_;
     slots_.slices().end(attempt.id);
+    end_loan(attempt);
+}
+
+void slot_queue::end_loan(upstream_attempt& attempt)
+{
     if (std::exchange(attempt.starved, false)) {
         --lent_;
     }
@@ -159,6 +164,8 @@
     if (attempt.phase == attempt_phase::set_aside) {
         --set_aside_;
     }
+    // Work that is refused or withdrawn between the loan and its start holds no slot, but has the loan.
+    end_loan(attempt);
 }
 
 void slot_queue::measure_pace(upstream_attempt& attempt, std::uint32_t tokens)
--- a/request/slot_queue.h
+++ b/request/slot_queue.h
@@ -67,6 +67,7 @@
 
 private:
     std::uint32_t limit() const;
+    void end_loan(upstream_attempt& attempt);
     const tiered_order& tiers() const { return std::get<tiered_order>(order_); }
     tiered_order& tiers() { return std::get<tiered_order>(order_); }
 
--- a/request/slot_search.h
+++ b/request/slot_search.h
@@ -15,15 +15,16 @@
 /// What the search for a slot asks of the core that it is part of.
 class slot_search_owner {
 public:
+    slot_search_owner() = default;
+    slot_search_owner(const slot_search_owner&) = delete;
+    slot_search_owner& operator=(const slot_search_owner&) = delete;
+    virtual ~slot_search_owner() = default;
     /// A slot was taken without waiting for a grant.
     virtual void on_slot_taken(const entry_request_ptr& request, const reservation& taken) = 0;
     /// No upstream can serve the request.
     virtual void on_no_slot(const entry_request_ptr& request, const failure_notice& notice) = 0;
     /// Whether others may be asked for a request that was sent to an upstream from which nothing was heard.
     virtual bool may_ask_beside(const entry_request& request) = 0;
-
-protected:
-    ~slot_search_owner() = default;
 };
 
 /// Finds an upstream with a free slot for a request: asks one or a few by the placement policy, widens the
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -21,8 +21,6 @@
 class upstream_core : private attempt_owner {
 public:
     explicit upstream_core(upstream_settings settings);
-    upstream_core(const upstream_core&) = delete;
-    upstream_core& operator=(const upstream_core&) = delete;
 
     /// Takes one event and returns what is to be done; the span is valid until the next call.
     std::span<const upstream_action> on_event(const upstream_event& event, time_point now);
--- a/tests/request/test_upstream_parts.cpp
+++ b/tests/request/test_upstream_parts.cpp
@@ -110,6 +110,13 @@
     BOOST_REQUIRE(work.has_value());
     slots.lend(*first);
     BOOST_TEST(!slots.next_starving());
+    BOOST_TEST_CONTEXT("also when the work it was lent to ends before it has begun")
+    {
+        slots.give_back_place(*first);
+        const auto second = queued(2, 3);
+        context.now += seconds(62);
+        BOOST_TEST(slots.next_starving().has_value());
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
