The simple baseline of placements, and a command that tries placements on modelled engines

Neither was there: weights were constants of one file.

Before and after: the default rule has the weights that were constants, so decisions are the same.

--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -8,6 +8,7 @@
 #include "main/command_manual.h"
 #include "main/command_order.h"
 #include "main/command_record.h"
+#include "main/command_simulate.h"
 #include "main/command_status.h"
 #include "main/command_timeline.h"
 
@@ -116,6 +117,18 @@
          "clementinegap record resolve shop order-a17 --as ran --platform http://10.0.0.2:7000",
          {platform_option, {"as", "ran|not-run", "how to settle an unknown outcome"}, json_option},
          record_command},
+        {"simulate",
+         "PLAN",
+         "try placements of generations on modelled engines",
+         "Plays the load of a plan against modelled engines, with the decisions of the routing daemon and in "
+         "manual time, once for each placement and seed. Prints what the callers of each kind got.",
+         "clementinegap simulate experiments/placement/workshop.json --seeds 5\n"
+         "clementinegap simulate experiments/placement/crest.json --plot crest.gp && gnuplot crest.gp",
+         {{"seeds", "COUNT", "runs of each placement, with seeds from the plan's on"},
+          {"placement", "NAME", "only this placement of the plan; may be given many times"},
+          {"plot", "FILE", "write a gnuplot script that draws FILE.svg"},
+          json_option},
+         simulate_command},
         {"status",
          "",
          "the whole deployment at a glance",
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -36,6 +36,7 @@
     result.daemon = settings.vm;
     result.zone = settings.zone;
     result.incarnation = incarnation;
+    result.placement = settings.placement;
     result.retries = {settings.retry_ratio, settings.retry_slack, settings.retry_window};
     return result;
 }
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "core/checked_json.h"
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -18,6 +19,15 @@
     return parsed.value_or(endpoint{});
 }
 
+placement_rule read_placement(object_reader& reader)
+{
+    constexpr std::array<std::string_view, 2> rules = {"prompt_affinity", "least_in_flight"};
+    if (reader.choice("placement", rules, "prompt_affinity") == "least_in_flight") {
+        return least_in_flight{};
+    }
+    return prompt_affinity{};
+}
+
 duration seconds_of(double value)
 {
     return duration(static_cast<duration::rep>(value * 1e6));
@@ -42,6 +52,7 @@
     result.peer_address = read_endpoint(reader, "peer_address");
     result.metrics_path = reader.string("metrics_path", "/metrics");
     result.store_address = read_endpoint(reader, "store_address");
+    result.placement = read_placement(reader);
     constexpr double most_seconds = 3600;
     result.retry_ratio = reader.number("retry_ratio", 0, 1, 0.2);
     result.retry_window = seconds_of(reader.number("retry_window_s", 1, most_seconds, 10));
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/outcome.h"
 #include "core/time.h"
+#include "routing/placement_rule.h"
 #include "routing/upstream_record.h"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
     double retry_ratio{0.2};
     duration retry_window{seconds(10)};
     double retry_slack{0};
+    placement_rule placement{prompt_affinity{}};
     duration stop_grace{seconds(8)}; ///< From SIGTERM until the process is killed.
 };
 
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -69,26 +69,45 @@
 }
 
 upstream_choice generation_placement::choose(const routed_request& request, const choice_view& view) const
+{
+    return std::visit([&](const auto& rule) { return choose_by(rule, request, view); }, rule_);
+}
+
+upstream_choice generation_placement::choose_by(const least_in_flight& /*rule*/,
+                                                const routed_request& request, const choice_view& view) const
+{
+    const auto* engines = partition(request.service);
+    return engines == nullptr ? upstream_choice{}
+                              : choose_least_in_flight(engines->engines(), request.prompt, view);
+}
+
+upstream_choice generation_placement::choose_by(const prompt_affinity& weights, const routed_request& request,
+                                                const choice_view& view) const
 {
     const auto* engines = partition(request.service);
     if (engines == nullptr) {
         return {};
     }
-    const auto best = choose_engine(engines->engines_for(request.step_tolerance), request.prompt, view);
+    const auto best =
+        choose_engine(engines->engines_for(request.step_tolerance), request.prompt, view, weights);
     const auto patience = request.way->objective / 2;
     if (best.upstream && best.expected_wait <= patience) {
         return best;
     }
     // The own section is full: an engine of more tolerant streams may begin sooner, at the risk of gaps.
-    const auto spill = choose_engine(engines->looser_engines(request.step_tolerance), request.prompt, view);
+    const auto spill =
+        choose_engine(engines->looser_engines(request.step_tolerance), request.prompt, view, weights);
     if (spill.upstream && (!best.upstream || spill.expected_wait + patience < best.expected_wait)) {
         return spill;
     }
-    return best.upstream ? best : choose_engine(engines->engines(), request.prompt, view);
+    return best.upstream ? best : choose_engine(engines->engines(), request.prompt, view, weights);
 }
 
 duration generation_placement::time_needed(const routed_request& request, const upstream_choice& choice) const
 {
+    if (std::holds_alternative<least_in_flight>(rule_)) {
+        return duration::zero(); // The baseline refuses only when all engines are full.
+    }
     return pace_.needed(request.service, request.step_tolerance,
                         choice.expected_wait + prefill_time(choice.prefill_tokens),
                         request.prompt.expected_output());
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -3,6 +3,7 @@
 #include "routing/demand_meter.h"
 #include "routing/engine_pace.h"
 #include "routing/engine_partition.h"
+#include "routing/placement_rule.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/routed_request.h"
 #include "routing/upstream_choice.h"
@@ -21,6 +22,8 @@
 /// prompts beside streams with short gaps, of hot sessions, and of more work than can end in time.
 class generation_placement {
 public:
+    explicit generation_placement(placement_rule rule = prompt_affinity{}) : rule_(rule) {}
+
     /// The kinds of streams of a configuration have engines before any demand is known.
     void set_configuration(const route_table& table);
     /// Divides the engines anew. \param demands_of_others as the other daemons reported them.
@@ -51,6 +54,12 @@
     const engine_partition* partition(std::string_view service) const;
 
 private:
+    upstream_choice choose_by(const prompt_affinity& weights, const routed_request& request,
+                              const choice_view& view) const;
+    upstream_choice choose_by(const least_in_flight& rule, const routed_request& request,
+                              const choice_view& view) const;
+
+    placement_rule rule_;
     demand_meter demand_;
     engine_pace pace_;
     prompt_cache_view caches_;
--- /dev/null
+++ b/routing/placement_rule.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <variant>
+
+namespace clementinegap {
+
+/// Sends generations to the engines that are believed to hold their shared prompt parts, keeps streams with
+/// short gaps apart from long prompts, and refuses what cannot end in time. The weights are what the choice
+/// of an engine trades against each other; docs/measurements/platform.md has the figures behind the defaults.
+struct prompt_affinity {
+    /// Engines that a session may use freely, the first of its rendezvous order. With one, a loaded owner is
+    /// left for any engine and the session's prompt is read all over the fleet; with two, the second takes
+    /// what the first cannot.
+    std::size_t session_engines{2};
+    /// What it costs to bring a session to a further engine, besides reading its prompt there: it is read
+    /// there again and displaces others from that cache.
+    duration further_engine_cost{milliseconds(400)};
+    /// Reading a part again delays others besides this request, so it weighs more than its own time.
+    double reread_weight{2.0};
+    /// What a running stream adds to the time of each token, over an answer of usual length.
+    duration cost_per_stream{microseconds(1500)};
+    /// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
+    duration full_engine_cost{milliseconds(40)};
+};
+
+/// The simple baseline that measurements compare with: the engine with the least requests in flight, whatever
+/// it has read before; a request for which every engine is full is refused.
+struct least_in_flight {};
+
+/// How generations are placed.
+using placement_rule = std::variant<prompt_affinity, least_in_flight>;
+
+} // namespace clementinegap
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -28,7 +28,8 @@
 
 request_router::request_router(router_settings settings)
     : settings_(std::move(settings)),
-      random_(static_cast<std::minstd_rand::result_type>(hash64(settings_.daemon, settings_.incarnation)))
+      random_(static_cast<std::minstd_rand::result_type>(hash64(settings_.daemon, settings_.incarnation))),
+      placement_(settings_.placement)
 {
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -26,6 +26,7 @@
     std::string zone;
     std::uint64_t incarnation{0}; ///< Start time, so that a restarted daemon's reports are newer.
     retry_budget_settings retries;
+    placement_rule placement{prompt_affinity{}};
 };
 
 /// The decisions of an entry daemon that sends callers' requests straight to upstreams: which route, which
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -11,19 +11,6 @@
 
 /// Prompt tokens that an engine reads in a millisecond, from the operators' sheet of their engines.
 constexpr double prefill_tokens_per_ms = 30.0;
-/// Reading a part again delays others besides this request, so it weighs more than its own time.
-constexpr double reread_weight = 2.0;
-/// Engines that a session may use freely, the first of its rendezvous order. With one, a loaded owner is left
-/// for any engine and the session's prompt is read all over the fleet; with two, the second takes what the
-/// first cannot.
-constexpr std::size_t session_engines = 2;
-/// What it costs to bring a session to a further engine, besides reading its prompt there: it is read there
-/// again and displaces others from that cache.
-constexpr duration further_engine_cost = milliseconds(400);
-/// What a running stream adds to the time of each token, over an answer of usual length.
-constexpr duration cost_per_stream = microseconds(1500);
-/// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
-constexpr duration full_engine_cost = milliseconds(40);
 /// What a request that failed costs its caller, against waiting.
 constexpr duration cost_of_failure = seconds(2);
 /// Loads within this of the best count as equal, in requests per slot.
@@ -57,7 +44,8 @@
 
 /// The engines that can be used, the first `session_engines` of the session's rendezvous order in front.
 std::vector<ranked_engine> in_rendezvous_order(std::span<const upstream_ptr> engines,
-                                               const prompt_part* session, const choice_view& view)
+                                               const prompt_part* session, const choice_view& view,
+                                               std::size_t session_engines)
 {
     std::vector<ranked_engine> ranked;
     ranked.reserve(engines.size());
@@ -81,10 +69,10 @@
 }
 
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
-                              const choice_view& view)
+                              const choice_view& view, const prompt_affinity& weights)
 {
     const auto* session = prompt.session();
-    const auto ranked = in_rendezvous_order(engines, session, view);
+    const auto ranked = in_rendezvous_order(engines, session, view, weights.session_engines);
     upstream_choice best;
     duration best_cost = duration::max();
     for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
@@ -95,9 +83,11 @@
             is_owner ? 0U : std::min(session->tokens, view.caches.missing_tokens(each->id, prompt, view.now));
         const auto wait = prefill_time(load.prefill_tokens);
         const auto cost =
-            wait + scaled(prefill_time(missing), reread_weight) + cost_per_stream * load.in_flight +
-            full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
-            (session == nullptr || rank < session_engines ? duration::zero() : further_engine_cost) +
+            wait + scaled(prefill_time(missing), weights.reread_weight) +
+            weights.cost_per_stream * load.in_flight +
+            weights.full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
+            (session == nullptr || rank < weights.session_engines ? duration::zero()
+                                                                  : weights.further_engine_cost) +
             scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
@@ -107,6 +97,21 @@
     return best;
 }
 
+upstream_choice choose_least_in_flight(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
+                                       const choice_view& view)
+{
+    upstream_choice best;
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    for_each_usable(engines, view, [&](const upstream_ptr& each) {
+        const auto in_flight = view.load.at(each->id).in_flight;
+        if (in_flight < std::min(least, each->slots)) {
+            least = in_flight;
+            best = {each, duration::zero(), prompt.own_tokens(), 0};
+        }
+    });
+    return best;
+}
+
 upstream_choice choose_plain(std::span<const upstream_ptr> upstreams, duration service_time,
                              const choice_view& view)
 {
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -2,6 +2,7 @@
 
 #include "routing/engine_partition.h"
 #include "routing/load_ledger.h"
+#include "routing/placement_rule.h"
 #include "routing/prompt.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/upstream_health.h"
@@ -37,7 +38,11 @@
 /// again. Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that
 /// order takes over while the owner is loaded, failing or gone.
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
-                              const choice_view& view);
+                              const choice_view& view, const prompt_affinity& weights);
+
+/// The engine with the least requests in flight; none when each has as many as it has slots.
+upstream_choice choose_least_in_flight(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
+                                       const choice_view& view);
 
 /// The plain upstream with the least work for its slots; one in the own zone is preferred when it is not
 /// busier by more than a request.
