--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -88,19 +88,38 @@
     if (engines == nullptr) {
         return {};
     }
+    const auto source = source_of(request, view);
     const auto best =
-        choose_engine(engines->engines_for(request.step_tolerance), request.prompt, view, weights);
+        choose_engine(engines->engines_for(request.step_tolerance), request.prompt, view, weights, source);
     const auto patience = request.way->objective / 2;
     if (best.upstream && best.expected_wait <= patience) {
         return best;
     }
     // The own section is full: an engine of more tolerant streams may begin sooner, at the risk of gaps.
     const auto spill =
-        choose_engine(engines->looser_engines(request.step_tolerance), request.prompt, view, weights);
+        choose_engine(engines->looser_engines(request.step_tolerance), request.prompt, view, weights, source);
     if (spill.upstream && (!best.upstream || spill.expected_wait + patience < best.expected_wait)) {
         return spill;
     }
-    return best.upstream ? best : choose_engine(engines->engines(), request.prompt, view, weights);
+    return best.upstream ? best : choose_engine(engines->engines(), request.prompt, view, weights, source);
+}
+
+part_source generation_placement::source_of(const routed_request& request, const choice_view& view) const
+{
+    const auto* target = request.table->find_service(request.service);
+    const double rate = target != nullptr && target->engine ? target->engine->copied_tokens_per_ms : 0;
+    if (rate <= 0) {
+        return {};
+    }
+    const auto engines = partition(request.service)->engines();
+    for (const auto& holder : caches_.holders(request.prompt, view.now)) {
+        const auto found =
+            std::ranges::find(engines, holder, [](const upstream_ptr& each) { return each->id; });
+        if (found != engines.end() && !view.health.avoided(holder, view.now)) {
+            return {*found, rate};
+        }
+    }
+    return {};
 }
 
 duration generation_placement::time_needed(const routed_request& request, const upstream_choice& choice) const
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -59,6 +59,9 @@
     upstream_choice choose_by(const least_in_flight& rule, const routed_request& request,
                               const choice_view& view) const;
 
+    /// An engine that the shared parts of the prompt can be copied from.
+    part_source source_of(const routed_request& request, const choice_view& view) const;
+
     placement_rule rule_;
     demand_meter demand_;
     engine_pace pace_;
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -11,12 +11,14 @@
         cache.recent.splice(cache.recent.begin(), cache.recent, known->second);
         return;
     }
-    cache.recent.push_front({placement.part, placement.tokens, now});
+    cache.recent.push_front({placement.part, placement.tokens, now, now});
+    holders_[placement.part].push_back(placement.upstream);
     cache.places[placement.part] = cache.recent.begin();
     cache.tokens += placement.tokens;
     while (cache.tokens > capacity_ && cache.recent.size() > 1) {
         const auto& oldest = cache.recent.back();
         cache.tokens -= oldest.tokens;
+        forget_holder(oldest.part, placement.upstream);
         cache.places.erase(oldest.part);
         cache.recent.pop_back();
     }
@@ -24,7 +26,43 @@
 
 void prompt_cache_view::forget(std::string_view upstream)
 {
-    engines_.erase(std::string(upstream));
+    const auto found = engines_.find(std::string(upstream));
+    if (found == engines_.end()) {
+        return;
+    }
+    for (const auto& held : found->second.recent) {
+        forget_holder(held.part, found->first);
+    }
+    engines_.erase(found);
+}
+
+void prompt_cache_view::forget_holder(std::uint64_t part, const std::string& upstream)
+{
+    const auto found = holders_.find(part);
+    if (found == holders_.end()) {
+        return;
+    }
+    std::erase(found->second, upstream);
+    if (found->second.empty()) {
+        holders_.erase(found);
+    }
+}
+
+std::vector<std::string> prompt_cache_view::holders(const prompt_facts& prompt, time_point now) const
+{
+    const auto* session = prompt.session();
+    const auto found = session == nullptr ? holders_.end() : holders_.find(session->id);
+    std::vector<std::string> result;
+    if (found == holders_.end()) {
+        return result;
+    }
+    for (const auto& upstream : found->second) {
+        const auto& held = *engines_.at(upstream).places.at(session->id);
+        if (now - held.since >= read_after && missing_tokens(upstream, prompt, now) == 0) {
+            result.push_back(upstream);
+        }
+    }
+    return result;
 }
 
 std::uint32_t prompt_cache_view::missing_tokens(std::string_view upstream, const prompt_facts& prompt,
@@ -49,9 +87,15 @@
 
 void prompt_cache_view::expire(time_point now)
 {
-    std::erase_if(engines_, [&](const auto& each) {
-        return each.second.recent.empty() || now - each.second.recent.front().used > believed_for;
-    });
+    std::vector<std::string> idle;
+    for (const auto& [upstream, cache] : engines_) {
+        if (cache.recent.empty() || now - cache.recent.front().used > believed_for) {
+            idle.push_back(upstream);
+        }
+    }
+    for (const auto& upstream : idle) {
+        forget(upstream);
+    }
 }
 
 } // namespace clementinegap
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -35,6 +35,8 @@
     /// Tokens of the shared parts of `prompt` that this engine would have to read: all from the first that it
     /// does not hold.
     std::uint32_t missing_tokens(std::string_view upstream, const prompt_facts& prompt, time_point now) const;
+    /// Engines that hold all shared parts of `prompt` and have had the time to read them.
+    std::vector<std::string> holders(const prompt_facts& prompt, time_point now) const;
     /// Drops engines that got nothing for a while.
     void expire(time_point now);
 
@@ -43,10 +45,14 @@
     static constexpr duration believed_for = seconds(40);
     static constexpr std::uint64_t default_capacity = 100000;
 
+    /// A part that was sent to an engine is read by then, on all but the busiest engines.
+    static constexpr duration read_after = milliseconds(300);
+
     struct held_part {
         std::uint64_t part{0};
         std::uint32_t tokens{0};
         time_point used;
+        time_point since;
     };
     struct engine_cache {
         std::list<held_part> recent; ///< The last used first.
@@ -54,7 +60,10 @@
         std::uint64_t tokens{0};
     };
 
+    void forget_holder(std::uint64_t part, const std::string& upstream);
+
     std::uint64_t capacity_{default_capacity};
+    std::unordered_map<std::uint64_t, std::vector<std::string>> holders_; ///< Engines, by part.
     std::unordered_map<std::string, engine_cache> engines_;
 };
 
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 #include "routing/admission.h"
 #include "routing/scaled_duration.h"
+#include "routing/send_order.h"
 
 #include <algorithm>
 
@@ -120,25 +121,9 @@
     if (request.is_generation()) {
         placement_.sent(request, now_);
     }
-    send_request action;
-    action.request = request.number;
-    action.upstream = choice.upstream;
-    action.time_left = time_left;
-    action.workspace = request.workspace;
-    action.urgency = request.is_generation()
-                         ? generation_placement::urgency(request.urgency, choice.prefill_tokens)
-                         : request.urgency;
-    action.is_generation = request.is_generation();
-    action.is_stream = request.way->is_stream;
-    action.repeatable = request.way->repeat != repeat_rule::once;
-    action.resumable = request.way->repeat == repeat_rule::resumable;
-    actions_.emplace_back(std::move(action));
+    actions_.emplace_back(order_of(request, choice, time_left));
     log("request.sent", request,
-        "route " + request.way->name + " configuration " + std::to_string(request.table->version()) +
-            " send " + std::to_string(request.sends) + " wait_ms " +
-            std::to_string(to_milliseconds(choice.expected_wait)) + " prefill " +
-            std::to_string(choice.prefill_tokens) + " reread " + std::to_string(choice.reread_tokens) +
-            " left_ms " + std::to_string(to_milliseconds(time_left)) + " reports " +
+        describe_send(request, choice, time_left) + " reports " +
             std::to_string(ledger_.reporting_daemons()));
     schedule(request);
     return true;
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -50,6 +50,7 @@
     std::uint32_t slots{1};
     std::uint64_t memory_tokens{0};    ///< Shared by running requests and cached prompt parts.
     std::uint32_t tokens_per_event{1}; ///< Tokens that one event of a stream holds.
+    double copied_tokens_per_ms{0};    ///< Cached prompt tokens that go from engine to engine; 0: none.
 };
 
 struct service {
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -106,6 +106,7 @@
 struct send_request {
     request_number request{0};
     upstream_ptr upstream;
+    upstream_ptr copy_from; ///< Engine whose cached parts of the prompt it copies first; nullptr: none.
     duration time_left{0};
     std::string workspace;   ///< Empty for a public route without a key.
     std::uint8_t urgency{0}; ///< 0 is the most urgent.
--- /dev/null
+++ b/routing/send_order.cpp
@@ -0,0 +1,38 @@
+#include "routing/send_order.h"
+
+#include "routing/generation_placement.h"
+
+namespace clementinegap {
+
+send_request order_of(const routed_request& request, const upstream_choice& choice, duration time_left)
+{
+    send_request order;
+    order.request = request.number;
+    order.upstream = choice.upstream;
+    order.copy_from = choice.copy_from;
+    order.time_left = time_left;
+    order.workspace = request.workspace;
+    order.urgency = request.is_generation()
+                        ? generation_placement::urgency(request.urgency, choice.prefill_tokens)
+                        : request.urgency;
+    order.is_generation = request.is_generation();
+    order.is_stream = request.way->is_stream;
+    order.repeatable = request.way->repeat != repeat_rule::once;
+    order.resumable = request.way->repeat == repeat_rule::resumable;
+    return order;
+}
+
+std::string describe_send(const routed_request& request, const upstream_choice& choice, duration time_left)
+{
+    auto text = "route " + request.way->name + " configuration " + std::to_string(request.table->version()) +
+                " send " + std::to_string(request.sends) + " wait_ms " +
+                std::to_string(to_milliseconds(choice.expected_wait)) + " prefill " +
+                std::to_string(choice.prefill_tokens) + " reread " + std::to_string(choice.reread_tokens) +
+                " left_ms " + std::to_string(to_milliseconds(time_left));
+    if (choice.copy_from) {
+        text += " copy_from " + choice.copy_from->id;
+    }
+    return text;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/send_order.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "routing/routed_request.h"
+#include "routing/router_events.h"
+
+#include <string>
+
+namespace clementinegap {
+
+/// The order to send a request to the upstream that was chosen for it.
+send_request order_of(const routed_request& request, const upstream_choice& choice, duration time_left);
+
+/// What decided a send, for the log. Every figure has its name before it.
+std::string describe_send(const routed_request& request, const upstream_choice& choice, duration time_left);
+
+} // namespace clementinegap
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -40,6 +40,26 @@
     }
 }
 
+/// Time before the first part of a copy comes, by the operators' sheet of their engines.
+constexpr duration copy_setup = microseconds(5300);
+
+/// What it takes to bring the shared parts that an engine lacks into its cache.
+struct part_supply {
+    duration cost{0};
+    bool copied{false};
+};
+
+part_supply supply_of(std::uint32_t missing, const upstream_record& engine, const part_source& source,
+                      double reread_weight)
+{
+    const auto read = scaled(prefill_time(missing), reread_weight);
+    if (missing == 0 || !source.engine || source.engine->id == engine.id) {
+        return {read, false};
+    }
+    const auto copy = copy_setup + scaled(milliseconds(1), missing / source.tokens_per_ms);
+    return copy < read ? part_supply{copy, true} : part_supply{read, false};
+}
+
 using ranked_engine = std::pair<std::uint64_t, upstream_ptr>;
 
 /// The engines that can be used, the first `session_engines` of the session's rendezvous order in front.
@@ -69,7 +89,8 @@
 }
 
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
-                              const choice_view& view, const prompt_affinity& weights)
+                              const choice_view& view, const prompt_affinity& weights,
+                              const part_source& source)
 {
     const auto* session = prompt.session();
     const auto ranked = in_rendezvous_order(engines, session, view, weights.session_engines);
@@ -79,19 +100,22 @@
         const auto& each = ranked[rank].second;
         const auto load = view.load.at(each->id);
         const bool is_owner = session == nullptr || rank == 0;
-        const auto missing =
-            is_owner ? 0U : std::min(session->tokens, view.caches.missing_tokens(each->id, prompt, view.now));
+        const auto lacking = session == nullptr ? 0U : view.caches.missing_tokens(each->id, prompt, view.now);
+        // An owner is where the session is brought to, so that it lacks it once costs nothing.
+        const auto supply = supply_of(lacking, *each, source, weights.reread_weight);
+        const auto missing = is_owner || supply.copied ? 0U : std::min(session->tokens, lacking);
         const auto wait = prefill_time(load.prefill_tokens);
         const auto cost =
-            wait + scaled(prefill_time(missing), weights.reread_weight) +
-            weights.cost_per_stream * load.in_flight +
+            wait + (is_owner ? duration::zero() : supply.cost) + weights.cost_per_stream * load.in_flight +
             weights.full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
-            (session == nullptr || rank < weights.session_engines ? duration::zero()
-                                                                  : weights.further_engine_cost) +
+            (session == nullptr || rank < weights.session_engines || supply.copied
+                 ? duration::zero()
+                 : weights.further_engine_cost) +
             scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
-            best = {each, wait, prompt.own_tokens() + missing, missing};
+            best = {each, wait, prompt.own_tokens() + missing, missing,
+                    supply.copied ? source.engine : nullptr};
         }
     }
     return best;
@@ -106,7 +130,7 @@
         const auto in_flight = view.load.at(each->id).in_flight;
         if (in_flight < std::min(least, each->slots)) {
             least = in_flight;
-            best = {each, duration::zero(), prompt.own_tokens(), 0};
+            best = {each, duration::zero(), prompt.own_tokens(), 0, nullptr};
         }
     });
     return best;
@@ -126,7 +150,7 @@
         if (cost < best_cost) {
             best_cost = cost;
             const double waiting = std::max(0.0, in_flight + 1 - slots);
-            best = {each, scaled(service_time, waiting / slots), 0, 0};
+            best = {each, scaled(service_time, waiting / slots), 0, 0, nullptr};
         }
     });
     return best;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -29,16 +29,25 @@
     duration expected_wait{0};
     std::uint32_t prefill_tokens{0}; ///< Tokens that the engine has to read for this request.
     std::uint32_t reread_tokens{0};  ///< Those of them that belong to shared parts.
+    upstream_ptr copy_from;          ///< Engine to copy shared parts from; nullptr: none.
 };
 
-/// Time that an engine takes to read `tokens`.
+/// Where the shared parts of a prompt can be copied from, instead of being read again.
+struct part_source {
+    upstream_ptr engine; ///< nullptr: nowhere.
+    double tokens_per_ms{0};
+};
+
+/// Time that an engine takes to read `tokens` of a prompt.
 duration prefill_time(std::uint64_t tokens);
 
 /// The engine that begins this generation soonest, counting the prompt parts that it would have to read
 /// again. Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that
-/// order takes over while the owner is loaded, failing or gone.
+/// order takes over while the owner is loaded, failing or gone. An engine that lacks parts copies them from
+/// `source`, if there is one.
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
-                              const choice_view& view, const prompt_affinity& weights);
+                              const choice_view& view, const prompt_affinity& weights,
+                              const part_source& source = {});
 
 /// The engine with the least requests in flight; none when each has as many as it has slots.
 upstream_choice choose_least_in_flight(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
