--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -16,14 +16,6 @@
 /// Keeps a report within a datagram.
 constexpr std::size_t most_reported_placements = 40;
 
-std::span<const prompt_part> shared_parts(const prompt_facts& prompt)
-{
-    if (prompt.parts.empty()) {
-        return {};
-    }
-    return std::span(prompt.parts).first(prompt.parts.size() - 1);
-}
-
 } // namespace
 
 void generation_placement::set_configuration(const route_table& table)
@@ -116,7 +108,7 @@
         const auto found =
             std::ranges::find(engines, holder, [](const upstream_ptr& each) { return each->id; });
         if (found != engines.end() && !view.health.avoided(holder, view.now)) {
-            return {*found, rate};
+            return {*found, caches_.missing_tokens(holder, request.prompt, view.now), rate};
         }
     }
     return {};
@@ -145,7 +137,7 @@
 
 void generation_placement::sent(const routed_request& request, time_point now)
 {
-    for (const auto& part : shared_parts(request.prompt)) {
+    for (const auto& part : request.prompt.shared_parts()) {
         part_placement placement{request.upstream->id, part.id, part.tokens};
         caches_.placed(placement, now);
         if (unreported_.size() < most_reported_placements) {
--- a/routing/prompt.h
+++ b/routing/prompt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,11 @@
     bool is_generation() const { return tokens_in > 0; }
     /// The last part that is shared with other requests: their session or subject; nullptr without one.
     const prompt_part* session() const { return parts.size() < 2 ? nullptr : &parts[parts.size() - 2]; }
+    /// The parts that other requests may have brought into a cache.
+    std::span<const prompt_part> shared_parts() const
+    {
+        return parts.empty() ? std::span<const prompt_part>() : std::span(parts).first(parts.size() - 1);
+    }
     /// Tokens that no other request can have brought into a cache.
     std::uint32_t own_tokens() const
     {
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -1,5 +1,7 @@
 #include "routing/prompt_cache_view.h"
 
+#include <algorithm>
+
 namespace clementinegap {
 
 void prompt_cache_view::placed(const part_placement& placement, time_point now)
@@ -48,18 +50,32 @@
     }
 }
 
+bool prompt_cache_view::has_read(std::string_view upstream, std::span<const prompt_part> parts,
+                                 time_point now) const
+{
+    const auto found = engines_.find(std::string(upstream));
+    return found != engines_.end() && std::ranges::all_of(parts, [&](const prompt_part& part) {
+               const auto place = found->second.places.find(part.id);
+               return place != found->second.places.end() && now - place->second->since >= read_after &&
+                      now - place->second->used <= believed_for;
+           });
+}
+
 std::vector<std::string> prompt_cache_view::holders(const prompt_facts& prompt, time_point now) const
 {
-    const auto* session = prompt.session();
-    const auto found = session == nullptr ? holders_.end() : holders_.find(session->id);
     std::vector<std::string> result;
-    if (found == holders_.end()) {
-        return result;
-    }
-    for (const auto& upstream : found->second) {
-        const auto& held = *engines_.at(upstream).places.at(session->id);
-        if (now - held.since >= read_after && missing_tokens(upstream, prompt, now) == 0) {
-            result.push_back(upstream);
+    for (auto parts = prompt.shared_parts(); !parts.empty(); parts = parts.first(parts.size() - 1)) {
+        const auto found = holders_.find(parts.back().id);
+        if (found == holders_.end()) {
+            continue;
+        }
+        for (const auto& upstream : found->second) {
+            if (has_read(upstream, parts, now)) {
+                result.push_back(upstream);
+            }
+        }
+        if (!result.empty()) {
+            break;
         }
     }
     return result;
@@ -71,7 +87,7 @@
     if (prompt.parts.size() < 2) {
         return 0;
     }
-    const auto shared = std::span(prompt.parts).first(prompt.parts.size() - 1);
+    const auto shared = prompt.shared_parts();
     const auto found = engines_.find(std::string(upstream));
     std::uint32_t missing = 0;
     bool gap = found == engines_.end();
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -35,7 +35,8 @@
     /// Tokens of the shared parts of `prompt` that this engine would have to read: all from the first that it
     /// does not hold.
     std::uint32_t missing_tokens(std::string_view upstream, const prompt_facts& prompt, time_point now) const;
-    /// Engines that hold all shared parts of `prompt` and have had the time to read them.
+    /// Engines that hold shared parts of `prompt` from its beginning on and have had the time to read them;
+    /// only those that hold the most of them.
     std::vector<std::string> holders(const prompt_facts& prompt, time_point now) const;
     /// Drops engines that got nothing for a while.
     void expire(time_point now);
@@ -48,6 +49,9 @@
     /// A part that was sent to an engine is read by then, on all but the busiest engines.
     static constexpr duration read_after = milliseconds(300);
 
+    /// Whether the engine holds these parts and has had the time to read them.
+    bool has_read(std::string_view upstream, std::span<const prompt_part> parts, time_point now) const;
+
     struct held_part {
         std::uint64_t part{0};
         std::uint32_t tokens{0};
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -46,18 +46,20 @@
 /// What it takes to bring the shared parts that an engine lacks into its cache.
 struct part_supply {
     duration cost{0};
-    bool copied{false};
+    std::uint32_t read{0}; ///< Tokens that the engine reads.
+    bool copies{false};
 };
 
 part_supply supply_of(std::uint32_t missing, const upstream_record& engine, const part_source& source,
                       double reread_weight)
 {
-    const auto read = scaled(prefill_time(missing), reread_weight);
-    if (missing == 0 || !source.engine || source.engine->id == engine.id) {
-        return {read, false};
+    const part_supply by_reading{scaled(prefill_time(missing), reread_weight), missing, false};
+    if (!source.engine || source.engine->id == engine.id || missing <= source.lacking) {
+        return by_reading;
     }
-    const auto copy = copy_setup + scaled(milliseconds(1), missing / source.tokens_per_ms);
-    return copy < read ? part_supply{copy, true} : part_supply{read, false};
+    const auto rest = scaled(prefill_time(source.lacking), reread_weight);
+    const auto copy = copy_setup + scaled(milliseconds(1), (missing - source.lacking) / source.tokens_per_ms);
+    return copy + rest < by_reading.cost ? part_supply{copy + rest, source.lacking, true} : by_reading;
 }
 
 using ranked_engine = std::pair<std::uint64_t, upstream_ptr>;
@@ -103,19 +105,19 @@
         const auto lacking = session == nullptr ? 0U : view.caches.missing_tokens(each->id, prompt, view.now);
         // An owner is where the session is brought to, so that it lacks it once costs nothing.
         const auto supply = supply_of(lacking, *each, source, weights.reread_weight);
-        const auto missing = is_owner || supply.copied ? 0U : std::min(session->tokens, lacking);
+        const auto missing = is_owner ? 0U : std::min(session->tokens, supply.read);
         const auto wait = prefill_time(load.prefill_tokens);
         const auto cost =
             wait + (is_owner ? duration::zero() : supply.cost) + weights.cost_per_stream * load.in_flight +
             weights.full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
-            (session == nullptr || rank < weights.session_engines || supply.copied
+            (session == nullptr || rank < weights.session_engines || supply.copies
                  ? duration::zero()
                  : weights.further_engine_cost) +
             scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
             best = {each, wait, prompt.own_tokens() + missing, missing,
-                    supply.copied ? source.engine : nullptr};
+                    supply.copies ? source.engine : nullptr};
         }
     }
     return best;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -34,7 +34,8 @@
 
 /// Where the shared parts of a prompt can be copied from, instead of being read again.
 struct part_source {
-    upstream_ptr engine; ///< nullptr: nowhere.
+    upstream_ptr engine;      ///< nullptr: nowhere.
+    std::uint32_t lacking{0}; ///< Tokens of the shared parts that it does not hold either.
     double tokens_per_ms{0};
 };
 
