--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -12,7 +12,7 @@
 /// Step tolerance of generations that promise no gap.
 constexpr duration any_gap = seconds(10);
 /// Running requests take the larger part of an engine's memory under load; cached parts have the rest.
-constexpr std::uint64_t cache_share_divisor = 2;
+constexpr std::uint64_t cache_share_divisor = 3;
 /// Keeps a report within a datagram.
 constexpr std::size_t most_reported_placements = 40;
 
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -14,12 +14,12 @@
     /// Engines that a session may use freely, the first of its rendezvous order. With one, a loaded owner is
     /// left for any engine and the session's prompt is read all over the fleet; with two, the second takes
     /// what the first cannot.
-    std::size_t session_engines{2};
+    std::size_t session_engines{4};
     /// What it costs to bring a session to a further engine, besides reading its prompt there: it is read
     /// there again and displaces others from that cache.
     duration further_engine_cost{milliseconds(400)};
     /// Reading a part again delays others besides this request, so it weighs more than its own time.
-    double reread_weight{2.0};
+    double reread_weight{4.0};
     /// What a running stream adds to the time of each token, over an answer of usual length.
     duration cost_per_stream{microseconds(1500)};
     /// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
