--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 4;
+constexpr int layout = 5;
 
 } // namespace
 
@@ -16,7 +16,7 @@
 {
     json loads = json::array();
     for (const auto& [id, load] : report.loads) {
-        loads.push_back({id, load.in_flight, load.decoding, load.prefill_tokens});
+        loads.push_back({id, load.in_flight, load.short_gaps, load.prefill_tokens});
     }
     json demands = json::array();
     for (const auto& each : report.demands) {
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -50,6 +50,14 @@
     return way.max_gap / std::max(1U, target->engine->tokens_per_event);
 }
 
+bool generation_placement::has_shortest_gap(const routed_request& request) const
+{
+    const auto [least, most] =
+        std::ranges::minmax_element(configured_kinds_, {}, &stream_demand::step_tolerance);
+    return least != configured_kinds_.end() && least->step_tolerance < most->step_tolerance &&
+           request.step_tolerance <= least->step_tolerance;
+}
+
 void generation_placement::count_demand(const routed_request& request, time_point now)
 {
     const auto* target = request.table->find_service(request.service);
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -32,6 +32,8 @@
 
     /// Time that a stream of this route tolerates for one token.
     static duration step_tolerance(const route& way, const service* target);
+    /// Whether no kind of stream of the configuration tolerates shorter gaps, and some tolerate longer ones.
+    bool has_shortest_gap(const routed_request& request) const;
     void count_demand(const routed_request& request, time_point now);
 
     upstream_choice choose(const routed_request& request, const choice_view& view) const;
--- a/routing/load_ledger.cpp
+++ b/routing/load_ledger.cpp
@@ -13,21 +13,21 @@
 
 } // namespace
 
-void load_ledger::add(std::string_view upstream, std::uint32_t prefill_tokens)
+void load_ledger::add(std::string_view upstream, std::uint32_t prefill_tokens, bool short_gap)
 {
     auto& load = own_[std::string(upstream)];
     ++load.in_flight;
     load.prefill_tokens += prefill_tokens;
+    load.short_gaps += short_gap ? 1 : 0;
 }
 
 void load_ledger::prefill_done(std::string_view upstream, std::uint32_t prefill_tokens)
 {
     auto& load = own_[std::string(upstream)];
     load.prefill_tokens -= std::min(load.prefill_tokens, prefill_tokens);
-    ++load.decoding;
 }
 
-void load_ledger::remove(std::string_view upstream, std::uint32_t prefill_tokens, bool was_decoding)
+void load_ledger::remove(std::string_view upstream, std::uint32_t prefill_tokens, bool short_gap)
 {
     const auto found = own_.find(std::string(upstream));
     if (found == own_.end()) {
@@ -35,7 +35,7 @@
     }
     auto& load = found->second;
     load.in_flight -= std::min(load.in_flight, 1U);
-    load.decoding -= std::min(load.decoding, was_decoding ? 1U : 0U);
+    load.short_gaps -= std::min(load.short_gaps, short_gap ? 1U : 0U);
     load.prefill_tokens -= std::min(load.prefill_tokens, prefill_tokens);
     if (load.in_flight == 0) {
         own_.erase(found);
@@ -75,7 +75,7 @@
     for (const auto& [upstream, load] : report.loads) {
         auto& sum = others_[upstream];
         sum.in_flight += static_cast<std::uint32_t>(sign) * load.in_flight;
-        sum.decoding += static_cast<std::uint32_t>(sign) * load.decoding;
+        sum.short_gaps += static_cast<std::uint32_t>(sign) * load.short_gaps;
         sum.prefill_tokens += static_cast<std::uint32_t>(sign) * load.prefill_tokens;
         if (sum == upstream_load{}) {
             others_.erase(upstream);
@@ -88,7 +88,7 @@
     auto sum = find_load(own_, upstream);
     const auto others = find_load(others_, upstream);
     sum.in_flight += others.in_flight;
-    sum.decoding += others.decoding;
+    sum.short_gaps += others.short_gaps;
     sum.prefill_tokens += others.prefill_tokens;
     return sum;
 }
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -16,7 +16,7 @@
 /// Work that daemons have at one upstream.
 struct upstream_load {
     std::uint32_t in_flight{0};
-    std::uint32_t decoding{0};       ///< Streams whose first event has come.
+    std::uint32_t short_gaps{0};     ///< Requests of the kind of stream that tolerates the shortest gaps.
     std::uint32_t prefill_tokens{0}; ///< Prompt tokens still to be read, by the senders' estimate.
     bool operator==(const upstream_load&) const = default;
 };
@@ -46,10 +46,11 @@
 public:
     static constexpr duration report_lifetime = milliseconds(1500); ///< Several report intervals.
 
-    void add(std::string_view upstream, std::uint32_t prefill_tokens);
+    /// \param short_gap whether the request is of the kind that tolerates the shortest gaps.
+    void add(std::string_view upstream, std::uint32_t prefill_tokens, bool short_gap);
     void prefill_done(std::string_view upstream, std::uint32_t prefill_tokens);
-    /// \param prefill_tokens what was not done of the prefill; \param was_decoding whether it was.
-    void remove(std::string_view upstream, std::uint32_t prefill_tokens, bool was_decoding);
+    /// \param prefill_tokens what was not done of the prefill.
+    void remove(std::string_view upstream, std::uint32_t prefill_tokens, bool short_gap);
 
     /// Ignores reports that are older than the last of the same daemon.
     void on_report(load_report report, time_point now);
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -22,6 +22,10 @@
     double reread_weight{4.0};
     /// What a running stream adds to the time of each token, over an answer of usual length.
     duration cost_per_stream{microseconds(1500)};
+    /// What it costs to read a prompt between the tokens of a stream that tolerates the shortest gaps, for
+    /// each such stream: most of them are late then. Streams stay behind when their engine goes to another
+    /// section.
+    duration disturbance_cost{milliseconds(100)};
     /// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
     duration full_engine_cost{milliseconds(40)};
 };
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -71,6 +71,7 @@
     budget(request.service).request_seen(now_);
     if (request.is_generation()) {
         placement_.count_demand(request, now_);
+        request.short_gap = placement_.has_shortest_gap(request);
     }
     auto& stored = requests_[event.request] = std::move(request);
     if (!try_send(stored)) {
@@ -80,7 +81,8 @@
 
 upstream_choice request_router::choose(const routed_request& request) const
 {
-    const choice_view view{ledger_, health_, placement_.caches(), settings_.zone, request.tried, now_};
+    const choice_view view{ledger_,       health_, placement_.caches(), settings_.zone,
+                           request.tried, now_,    request.short_gap};
     if (request.is_generation()) {
         return placement_.choose(request, view);
     }
@@ -117,7 +119,7 @@
     request.expected_start = choice.expected_wait + prefill_time(choice.prefill_tokens);
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
-    ledger_.add(choice.upstream->id, request.prefill_tokens);
+    ledger_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
     if (request.is_generation()) {
         placement_.sent(request, now_);
     }
@@ -320,7 +322,7 @@
     if (!request.upstream) {
         return;
     }
-    ledger_.remove(request.upstream->id, request.prefill_tokens, request.first_event);
+    ledger_.remove(request.upstream->id, request.prefill_tokens, request.short_gap);
     request.prefill_tokens = 0;
     request.upstream = nullptr;
 }
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -30,6 +30,7 @@
 
     upstream_ptr upstream; ///< Of the current send; nullptr without one.
     std::uint32_t prefill_tokens{0};
+    bool short_gap{false};    ///< Of the kind of stream that tolerates the shortest gaps.
     bool first_event{false};  ///< Of the current send.
     bool answer_begun{false}; ///< The caller has the head of an answer, of this send or an earlier one.
     time_point sent_at;
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -11,6 +11,8 @@
 
 /// Prompt tokens that an engine reads in a millisecond, from the operators' sheet of their engines.
 constexpr double prefill_tokens_per_ms = 30.0;
+/// Prompt tokens whose reading makes a pause that streams with short gaps notice; two chunks of an engine.
+constexpr double noticed_tokens = 4000;
 /// What a request that failed costs its caller, against waiting.
 constexpr duration cost_of_failure = seconds(2);
 /// Loads within this of the best count as equal, in requests per slot.
@@ -62,6 +64,15 @@
     return copy + rest < by_reading.cost ? part_supply{copy + rest, source.lacking, true} : by_reading;
 }
 
+duration disturbance(const upstream_load& load, std::uint32_t tokens, const choice_view& view,
+                     const prompt_affinity& weights)
+{
+    if (view.short_gap) {
+        return duration::zero(); // Streams of one kind share their engines on purpose.
+    }
+    return scaled(weights.disturbance_cost * load.short_gaps, std::min(1.0, tokens / noticed_tokens));
+}
+
 using ranked_engine = std::pair<std::uint64_t, upstream_ptr>;
 
 /// The engines that can be used, the first `session_engines` of the session's rendezvous order in front.
@@ -113,6 +124,7 @@
             (session == nullptr || rank < weights.session_engines || supply.copies
                  ? duration::zero()
                  : weights.further_engine_cost) +
+            disturbance(load, prompt.own_tokens() + missing, view, weights) +
             scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
         if (cost < best_cost) {
             best_cost = cost;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -21,6 +21,7 @@
     std::string_view zone;                 ///< Of this daemon.
     std::span<const std::string> excluded; ///< Ids that the request was sent to already.
     time_point now;
+    bool short_gap{false}; ///< The request itself is of the kind that tolerates the shortest gaps.
 };
 
 /// An upstream for a request, with what is expected there.
