Tests of placement and of the simulation; the simulation copies parts; one check replaced

New: holders of parts, copying, avoidance of engines with short gaps, the baseline, the header and the rate on the platform's wire; part memory, engine, plan, calls and fleet of the simulation.

--- a/simulation/engine_figures.h
+++ b/simulation/engine_figures.h
@@ -18,6 +18,7 @@
     duration step_per_stream{microseconds(33)};
     double context_us_per_1000_tokens{14}; ///< Added to a step for the memory of what runs.
     double prompt_tokens_per_ms{30};
+    double copied_tokens_per_ms{0};        ///< Cached prompt tokens, from engine to engine; 0: none.
     double attention_ms_per_million{0.75}; ///< Reading, per million pairs of prompt and earlier tokens.
 };
 
--- a/simulation/engine_model.cpp
+++ b/simulation/engine_model.cpp
@@ -49,6 +49,14 @@
     }
 }
 
+void engine_model::receive(std::span<const prompt_part> parts)
+{
+    if (memory_.take(parts)) {
+        memory_.set_read(parts);
+        memory_.release(parts);
+    }
+}
+
 std::vector<engine_model::state>::iterator engine_model::find_running(std::uint64_t run)
 {
     return std::ranges::find(running_, run, [](const state& one) { return one.run.id; });
--- a/simulation/engine_model.h
+++ b/simulation/engine_model.h
@@ -39,6 +39,11 @@
     /// Ends the step that is due and begins the next one. \returns what happened; valid until the next call.
     std::span<const engine_news> advance(time_point now);
 
+    /// Prompt tokens that the engine would have to read.
+    std::uint32_t missing(std::span<const prompt_part> parts) const { return memory_.missing(parts); }
+    /// Parts that another engine gave; dropped without room for them.
+    void receive(std::span<const prompt_part> parts);
+
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_.size(); }
     std::uint64_t preemptions() const { return preemptions_; }
--- a/simulation/simulated_fleet.cpp
+++ b/simulation/simulated_fleet.cpp
@@ -1,5 +1,7 @@
 #include "simulation/simulated_fleet.h"
 
+#include "routing/scaled_duration.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -11,6 +13,8 @@
 /// Traffic begins once the routers have told each other of themselves.
 constexpr duration settling = seconds(1);
 constexpr duration within_zone = microseconds(100);
+/// Before the first part of a copy comes.
+constexpr duration copy_setup = microseconds(5300);
 /// A lost process is missed in the directory after its upstream's silence.
 constexpr duration lapse = milliseconds(3600);
 /// Time that callers are still answered after the last call.
@@ -86,8 +90,8 @@
     }
     service engines;
     engines.name = "engines";
-    engines.engine =
-        engine_traits{plan_.engine.slots, plan_.engine.memory_tokens, plan_.engine.tokens_per_event};
+    engines.engine = engine_traits{plan_.engine.slots, plan_.engine.memory_tokens,
+                                   plan_.engine.tokens_per_event, plan_.engine.copied_tokens_per_ms};
     result->add_service(std::move(engines));
     return result;
 }
@@ -262,8 +266,16 @@
     const auto had = attempt.events * plan_.engine.tokens_per_event;
     const auto whole = calls_[attempt.call].output_tokens;
     run.output_tokens = std::max(1U, whole - std::min(whole, had));
-    at(now_ + latency(router, engine),
-       [this, engine, request = action.request, run = std::move(run)] { submit(engine, request, run); });
+    const auto arrives = now_ + latency(router, engine);
+    if (!action.copy_from) {
+        at(arrives,
+           [this, engine, request = action.request, run = std::move(run)] { submit(engine, request, run); });
+        return;
+    }
+    const auto source = static_cast<std::size_t>(action.copy_from->address.port) - 1;
+    at(arrives, [this, source, engine, request = action.request, run = std::move(run)] {
+        copy_parts(source, engine, request, run);
+    });
 }
 
 void simulated_fleet::act(const stop_send& action, std::size_t router)
@@ -294,6 +306,31 @@
     schedule_step(engine);
 }
 
+void simulated_fleet::copy_parts(std::size_t source, std::size_t engine, request_number request,
+                                 engine_run run)
+{
+    const auto& from = *engines_[source].model;
+    const auto& to = *engines_[engine].model;
+    auto parts = std::span(run.parts).first(run.parts.size() - 1);
+    while (!parts.empty() && from.missing(parts) > 0) {
+        parts = parts.first(parts.size() - 1);
+    }
+    const auto copied = to.missing(parts);
+    if (copied == 0 || !engines_[source].is_up) {
+        submit(engine, request, std::move(run));
+        return;
+    }
+    auto& free_at = engines_[source].link_free_at;
+    free_at = std::max(free_at, now_) + scaled(milliseconds(1), copied / plan_.engine.copied_tokens_per_ms);
+    std::vector<prompt_part> given(parts.begin(), parts.end());
+    at(free_at + copy_setup, [this, engine, request, run = std::move(run), given = std::move(given)] {
+        if (engines_[engine].is_up) {
+            engines_[engine].model->receive(given);
+        }
+        submit(engine, request, run);
+    });
+}
+
 void simulated_fleet::schedule_step(std::size_t engine)
 {
     auto& node = engines_[engine];
--- a/simulation/simulated_fleet.h
+++ b/simulation/simulated_fleet.h
@@ -40,6 +40,7 @@
         upstream_record record;
         bool is_up{true};
         time_point step_at{never};
+        time_point link_free_at{}; ///< Copies from it go one after another.
     };
     /// An attempt of a caller, as one router has it.
     struct attempt {
@@ -67,6 +68,8 @@
     template <class ignored> void act(const ignored& /*action*/, std::size_t /*router*/) {}
 
     void submit(std::size_t engine, request_number request, engine_run run);
+    /// Copies what `source` holds of the prompt beyond the engine's own; then the run begins there.
+    void copy_parts(std::size_t source, std::size_t engine, request_number request, engine_run run);
     void schedule_step(std::size_t engine);
     void step(std::size_t engine);
     void tell(std::size_t engine, const engine_news& news);
--- a/simulation/simulation_plan.cpp
+++ b/simulation/simulation_plan.cpp
@@ -58,6 +58,8 @@
         reader.number("context_us_per_1000_tokens", 0, most_ms, result.context_us_per_1000_tokens);
     result.prompt_tokens_per_ms =
         reader.number("prompt_tokens_per_ms", 0.001, most_ms, result.prompt_tokens_per_ms);
+    result.copied_tokens_per_ms =
+        reader.number("copied_tokens_per_ms", 0, most_tokens, result.copied_tokens_per_ms);
     result.attention_ms_per_million =
         reader.number("attention_ms_per_million", 0, most_ms, result.attention_ms_per_million);
     reader.finish();
@@ -141,6 +143,7 @@
                                           static_cast<std::uint32_t>(weights.session_engines));
     weights.further_engine_cost = read_ms(reader, "further_engine_ms", weights.further_engine_cost);
     weights.reread_weight = reader.number("reread_weight", 0, 1000, weights.reread_weight);
+    weights.disturbance_cost = read_ms(reader, "disturbance_ms", weights.disturbance_cost);
     weights.cost_per_stream = read_ms(reader, "ms_per_stream", weights.cost_per_stream);
     weights.full_engine_cost = read_ms(reader, "full_engine_ms", weights.full_engine_cost);
     result.rule = weights;
--- a/tests/platform/test_translation.cpp
+++ b/tests/platform/test_translation.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
+
 #include <random>
 
 using namespace clementinegap;
@@ -40,7 +42,7 @@
   {"name":"r2","host":"h","prefix":"/q/","kind":"unsafe","timeout_ms":800,"goal_ms":300,"priority":2,
    "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":1,"public":true},
   {"name":"r3","host":"h","prefix":"/s/","kind":"safe","timeout_ms":800,"service":"s2","max_attempts":2}],
- "services":[{"name":"s1","health":"/health","max_conns":370,"engine":{"slots":64,"kv_capacity":232550,"stride":3}},
+ "services":[{"name":"s1","health":"/health","max_conns":370,"engine":{"slots":64,"kv_capacity":232550,"stride":3,"kv_token_bytes":163840,"link_mbps":280000}},
              {"name":"s2","health":"/health","max_conns":110}],
  "limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"t","keys":["k1","k2"],"priority":1}]})";
@@ -104,6 +106,11 @@
           "X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410, e4402b7d:250\r\n"}) {
         BOOST_TEST(text.find(line) != std::string::npos, line);
     }
+    BOOST_TEST(text.find("Kv-Fetch") == std::string::npos);
+    record.address = {"10.0.0.9", 81};
+    send.copy_from = std::make_shared<const upstream_record>(record);
+    BOOST_TEST(encode_request({head, send, true, 3, ""}).find("Kv-Fetch: 10.0.0.9:81\r\n") !=
+               std::string::npos);
     const auto resumed = encode_request({head, send, true, 3, "17"});
     BOOST_TEST(resumed.find("Last-Event-Id: 17\r\n") != std::string::npos);
 }
@@ -195,6 +202,8 @@
     BOOST_TEST(split.found->targets.size() == 2U);
     BOOST_TEST(!split.unauthorized);
     BOOST_TEST(table.find_service("s1")->engine->tokens_per_event == 3U);
+    // 163,840 bytes a token over 280,000 Mbit/s.
+    BOOST_TEST(std::abs(table.find_service("s1")->engine->copied_tokens_per_ms - 213.6) < 0.1);
     BOOST_TEST(to_milliseconds(table.limits().idle_timeout) == 15000);
 }
 
--- a/tests/routing/router_fixture.cpp
+++ b/tests/routing/router_fixture.cpp
@@ -42,7 +42,7 @@
     give(listing);
 }
 
-std::shared_ptr<const route_table> router_fixture::table(std::uint64_t version)
+std::shared_ptr<const route_table> router_fixture::table(std::uint64_t version, double copied_tokens_per_ms)
 {
     auto result = std::make_shared<route_table>(version);
     result->add_route(make_route("/look/", "app", repeat_rule::repeatable, false));
@@ -62,7 +62,7 @@
     result->add_route(open);
     service engines;
     engines.name = "llm";
-    engines.engine = engine_traits{64, 200000, 3};
+    engines.engine = engine_traits{64, 200000, 3, copied_tokens_per_ms};
     result->add_service(engines);
     service plain;
     plain.name = "app";
--- a/tests/routing/router_fixture.h
+++ b/tests/routing/router_fixture.h
@@ -44,7 +44,8 @@
     /// The upstream that the last event sent a request to; empty without one.
     std::string sent_to() const;
 
-    static std::shared_ptr<const route_table> table(std::uint64_t version);
+    /// \param copied_tokens_per_ms between engines; 0: they cannot copy.
+    static std::shared_ptr<const route_table> table(std::uint64_t version, double copied_tokens_per_ms = 0);
     static upstream_record upstream(const std::string& id, const std::string& service,
                                     const std::string& zone = "z1");
 
--- /dev/null
+++ b/tests/routing/test_placement.cpp
@@ -0,0 +1,252 @@
+#include "routing/generation_placement.h"
+#include "routing/router_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace clementinegap;
+using namespace clementinegap::testing;
+
+namespace {
+
+constexpr double fast_link = 200;
+
+upstream_ptr engine(const std::string& id)
+{
+    return std::make_shared<const upstream_record>(router_fixture::upstream(id, "llm"));
+}
+
+prompt_facts prompt_of(std::uint64_t session, std::uint32_t own_tokens = 500)
+{
+    prompt_facts prompt;
+    prompt.parts = {{1, 2000}, {session, 3000}, {99, own_tokens}};
+    prompt.tokens_in = 5000 + own_tokens;
+    return prompt;
+}
+
+/// Two engines, what is believed of them, and a choice between them.
+struct two_engines {
+    choice_view view(bool short_gap = false) const
+    {
+        return {load, health, caches, "z1", excluded, now, short_gap};
+    }
+    upstream_choice choose(const part_source& source = {}) const
+    {
+        return choose_engine(engines, prompt, view(), weights, source);
+    }
+    upstream_ptr other_than(const upstream_ptr& one) const
+    {
+        return one == engines[0] ? engines[1] : engines[0];
+    }
+
+    load_ledger load;
+    upstream_health health;
+    prompt_cache_view caches;
+    std::vector<std::string> excluded;
+    std::vector<upstream_ptr> engines{engine("e1"), engine("e2")};
+    prompt_facts prompt{prompt_of(42)};
+    prompt_affinity weights;
+    time_point now{start};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement_of_generations)
+
+BOOST_AUTO_TEST_SUITE(the_holders_of_prompt_parts)
+
+BOOST_AUTO_TEST_CASE(are_those_that_hold_the_most_from_the_beginning_on)
+{
+    prompt_cache_view caches;
+    const auto prompt = prompt_of(42);
+    const auto later = start + seconds(1);
+    BOOST_TEST(caches.holders(prompt, later).empty());
+    caches.placed({"e1", 1, 2000}, start);
+    BOOST_TEST((caches.holders(prompt, later) == std::vector<std::string>{"e1"}));
+    caches.placed({"e2", 1, 2000}, start);
+    caches.placed({"e2", 42, 3000}, start);
+    BOOST_TEST((caches.holders(prompt, later) == std::vector<std::string>{"e2"}));
+    BOOST_TEST_CONTEXT("a session without the parts before it is no use")
+    {
+        caches.placed({"e3", 42, 3000}, start);
+        BOOST_TEST((caches.holders(prompt, later) == std::vector<std::string>{"e2"}));
+    }
+    BOOST_TEST_CONTEXT("a lost process holds nothing")
+    {
+        caches.forget("e2");
+        BOOST_TEST((caches.holders(prompt, later) == std::vector<std::string>{"e1"}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(must_have_had_the_time_to_read_them)
+{
+    prompt_cache_view caches;
+    const auto prompt = prompt_of(42);
+    caches.placed({"e1", 1, 2000}, start);
+    caches.placed({"e1", 42, 3000}, start);
+    BOOST_TEST(caches.holders(prompt, start + milliseconds(50)).empty());
+    BOOST_TEST(caches.holders(prompt, start + milliseconds(500)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_forgotten_with_parts_that_yield_and_engines_that_rest)
+{
+    prompt_cache_view caches;
+    caches.set_capacity(5000);
+    const auto prompt = prompt_of(42);
+    caches.placed({"e1", 1, 2000}, start);
+    caches.placed({"e1", 42, 3000}, start);
+    caches.placed({"e1", 43, 3000}, start);
+    BOOST_TEST(caches.holders(prompt, start + seconds(1)).empty());
+    caches.expire(start + seconds(100));
+    caches.placed({"e2", 1, 2000}, start + seconds(100));
+    BOOST_TEST((caches.holders(prompt, start + seconds(101)) == std::vector<std::string>{"e2"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_choice_of_an_engine)
+
+BOOST_FIXTURE_TEST_CASE(copies_what_another_engine_holds_when_that_is_cheaper, two_engines)
+{
+    const auto owner = choose().upstream;
+    const auto other = other_than(owner);
+    caches.placed({owner->id, 1, 2000}, start);
+    caches.placed({owner->id, 42, 3000}, start);
+    load.add(owner->id, 60000, false);
+    BOOST_TEST_CONTEXT("without a link it reads all parts again")
+    {
+        const auto choice = choose();
+        BOOST_TEST(choice.upstream == other);
+        BOOST_TEST(choice.copy_from == nullptr);
+        BOOST_TEST(choice.reread_tokens == 3000U);
+    }
+    BOOST_TEST_CONTEXT("with one it reads only its own part")
+    {
+        const auto choice = choose({owner, 0, fast_link});
+        BOOST_TEST(choice.upstream == other);
+        BOOST_TEST(choice.copy_from == owner);
+        BOOST_TEST(choice.prefill_tokens == 500U);
+        BOOST_TEST(choice.reread_tokens == 0U);
+    }
+    BOOST_TEST_CONTEXT("a slow link is no better than reading")
+    {
+        BOOST_TEST(choose({owner, 0, 1}).copy_from == nullptr);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(never_copies_from_the_engine_itself, two_engines)
+{
+    const auto owner = choose().upstream;
+    BOOST_TEST(choose({owner, 0, fast_link}).copy_from == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_what_the_source_lacks_too, two_engines)
+{
+    const auto owner = choose().upstream;
+    const auto other = other_than(owner);
+    load.add(owner->id, 60000, false);
+    const auto choice = choose({owner, 3000, fast_link});
+    BOOST_TEST(choice.upstream == other);
+    BOOST_TEST(choice.copy_from == owner);
+    BOOST_TEST(choice.prefill_tokens == 3500U);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_long_prompts_from_engines_where_streams_with_short_gaps_run, two_engines)
+{
+    prompt.parts.back().tokens = 8000;
+    const auto owner = choose().upstream;
+    for (int i = 0; i < 20; ++i) {
+        load.add(owner->id, 0, true);
+    }
+    BOOST_TEST(choose().upstream == other_than(owner));
+    BOOST_TEST_CONTEXT("but not the streams of that kind themselves")
+    {
+        const auto choice = choose_engine(engines, prompt, view(true), weights);
+        BOOST_TEST(choice.upstream == owner);
+    }
+    BOOST_TEST_CONTEXT("nor once they have ended")
+    {
+        for (int i = 0; i < 20; ++i) {
+            load.remove(owner->id, 0, true);
+        }
+        BOOST_TEST(choose().upstream == owner);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(of_the_baseline_is_the_engine_with_the_least_in_flight, two_engines)
+{
+    load.add("e1", 0, false);
+    BOOST_TEST(choose_least_in_flight(engines, prompt, view()).upstream == engines[1]);
+    for (std::uint32_t i = 0; i < engines[0]->slots; ++i) {
+        load.add("e1", 0, false);
+        load.add("e2", 0, false);
+    }
+    BOOST_TEST(choose_least_in_flight(engines, prompt, view()).upstream == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(in_a_router, router_fixture)
+
+BOOST_AUTO_TEST_CASE(a_loaded_owner_gives_its_parts_to_the_next_engine)
+{
+    give(configuration_received{table(2, fast_link)});
+    const auto first = arrive_generation("/draft/x", 42, 1000);
+    const auto owner = sent_to();
+    give(first_event_seen{first});
+    pass(milliseconds(500));
+    arrive_generation("/draft/x", 42, 40000);
+    arrive_generation("/draft/x", 42, 40000);
+    const auto send = one<send_request>();
+    BOOST_REQUIRE(send.has_value());
+    BOOST_TEST(send->upstream->id != owner);
+    BOOST_REQUIRE(send->copy_from != nullptr);
+    BOOST_TEST(send->copy_from->id == owner);
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_that_is_gone_gives_nothing)
+{
+    give(configuration_received{table(2, fast_link)});
+    const auto first = arrive_generation("/draft/x", 42, 1000);
+    const auto owner = sent_to();
+    give(first_event_seen{first});
+    pass(milliseconds(500));
+    give(upstream_removed{owner});
+    arrive_generation("/draft/x", 42, 1000);
+    const auto send = one<send_request>();
+    BOOST_REQUIRE(send.has_value());
+    BOOST_TEST(send->copy_from == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(the_baseline_refuses_when_all_engines_are_full)
+{
+    router_settings settings;
+    settings.daemon = "entry-2";
+    settings.placement = least_in_flight{};
+    request_router baseline(settings);
+    baseline.on_event(configuration_received{table(1)}, now);
+    directory_listed listing;
+    auto only = upstream("e1", "llm");
+    only.slots = 1;
+    listing.records = {only, upstream("e2", "llm")};
+    listing.records[1].slots = 1;
+    baseline.on_event(listing, now);
+    int refused = 0;
+    for (request_number number = 1; number <= 3; ++number) {
+        request_arrived event;
+        event.request = number;
+        event.host = "h";
+        event.path = "/draft/x";
+        event.api_key = "key-a";
+        event.prompt = prompt_of(42);
+        for (const auto& action : baseline.on_event(event, now)) {
+            refused += std::holds_alternative<answer_caller>(action) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(refused == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -258,14 +258,14 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(lets_a_session_use_two_engines_before_any_other)
+BOOST_AUTO_TEST_CASE(lets_a_session_use_its_own_engines_before_any_other)
 {
     std::set<std::string> used;
     for (int i = 0; i < 12; ++i) {
         arrive_generation("/draft/x", 42, 2000);
         used.insert(sent_to());
     }
-    BOOST_TEST(used.size() == 2U);
+    BOOST_TEST(used.size() == prompt_affinity{}.session_engines);
 }
 
 BOOST_AUTO_TEST_CASE(spreads_generations_that_share_no_prompt)
