Log lines of entries: one documented form, read and explained by clementinegap timeline

The lines had no schema, ids of callers and names of the configuration were written without escaping (a request id with a quote made a line that is no JSON, or forged fields), the line on dropped lines had no time, level or VM, and the command line could not read these logs.

--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -122,8 +122,8 @@
          "try placements of generations on modelled engines",
          "Plays the load of a plan against modelled engines, with the decisions of the routing daemon and in "
          "manual time, once for each placement and seed. Prints what the callers of each kind got.",
-         "clementinegap simulate experiments/placement/workshop.json --seeds 5\n"
-         "clementinegap simulate experiments/placement/crest.json --plot crest.gp && gnuplot crest.gp",
+         "clementinegap simulate simulation/plans/workshop.json --seeds 5\n"
+         "clementinegap simulate simulation/plans/crest.json --plot crest.gp && gnuplot crest.gp",
          {{"seeds", "COUNT", "runs of each placement, with seeds from the plan's on"},
           {"placement", "NAME", "only this placement of the plan; may be given many times"},
           {"plot", "FILE", "write a gnuplot script that draws FILE.svg"},
@@ -143,12 +143,15 @@
         {"timeline",
          "",
          "events of all processes in one causal order",
-         "Merges the event rings of all daemons by hybrid logical time. With --explain it tells in words why "
-         "one "
-         "request was late, was refused, or ran where it did.",
+         "Merges the event rings of all daemons by hybrid logical time, or the log lines of entry daemons "
+         "that "
+         "route straight to upstreams. With --explain it tells in words why one request was late, was "
+         "refused, "
+         "or ran where it did.",
          "clementinegap timeline --platform http://10.0.0.2:7000 --request 00ab34 --explain\n"
          "clementinegap timeline --platform http://10.0.0.2:7000 --class cutting_guide --format trace > "
-         "t.json",
+         "t.json\n"
+         "clementinegap timeline --log entry-1.log --log entry-2.log --request 9e7bcf82 --explain",
          {platform_option,
           admin_option,
           {"request", "ID", "only this request"},
@@ -159,6 +162,8 @@
           {"to", "US", "not after this wall time, in microseconds since 1970"},
           {"format", "text|json|trace", "lines of text, JSON lines, or trace-event JSON"},
           {"explain", "", "tell in words what became of --request"},
+          {"log", "FILE",
+           "read log lines of entry daemons instead; may be given many times, - is standard input"},
           json_option},
          timeline_command},
         {"version",
--- a/main/command_timeline.cpp
+++ b/main/command_timeline.cpp
@@ -1,10 +1,16 @@
 #include "main/command_timeline.h"
 
 #include "main/admin_client.h"
+#include "main/settings.h"
+#include "observability/log_lines.h"
+#include "observability/routed_explanation.h"
 #include "observability/timeline_explanation.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <iostream>
+#include <iterator>
 
 namespace clementinegap {
 namespace {
@@ -58,6 +64,27 @@
     return events;
 }
 
+/// Reads log files of entry daemons; "-" is standard input. False when one cannot be read.
+bool collect_logs(const std::vector<std::string>& paths, std::vector<timeline_event>& events)
+{
+    for (const auto& path : paths) {
+        const auto text =
+            path == "-" ? outcome<std::string>(std::string(std::istreambuf_iterator<char>(std::cin), {}))
+                        : read_file(path);
+        if (!text) {
+            std::fprintf(stderr, "%s\n", text.error().message.c_str());
+            return false;
+        }
+        auto reading = events_from_log(text.value());
+        if (reading.unreadable > 0) {
+            std::fprintf(stderr, "%s: %zu lines are no log lines\n", path.c_str(), reading.unreadable);
+        }
+        std::ranges::move(reading.events, std::back_inserter(events));
+    }
+    sort_timeline(events);
+    return true;
+}
+
 std::optional<std::string> rendered(const parsed_words& words, const std::vector<timeline_event>& events)
 {
     const auto format = words.has("format") ? words.value("format") : words.has("json") ? "json" : "text";
@@ -73,6 +100,24 @@
     return format == "text" ? std::optional(timeline_text(events)) : std::nullopt;
 }
 
+/// The time line of log files, or the explanation of one request in them.
+exit_code show_logs(const parsed_words& words, const timeline_filter& filter)
+{
+    std::vector<timeline_event> events;
+    if (!collect_logs(words.values("log"), events)) {
+        return exit_code::usage;
+    }
+    if (words.has("explain")) {
+        std::fputs(explain_routed_request(events, filter.request_id).c_str(), stdout);
+        const auto known =
+            std::ranges::any_of(events, [&](const timeline_event& event) { return filter.fits(event); });
+        return known ? exit_code::ok : exit_code::refused;
+    }
+    std::erase_if(events, [&](const timeline_event& event) { return !filter.fits(event); });
+    std::fputs(rendered(words, events)->c_str(), stdout);
+    return words.has("request") && events.empty() ? exit_code::refused : exit_code::ok;
+}
+
 } // namespace
 
 exit_code timeline_command(const parsed_words& words)
@@ -84,6 +129,9 @@
                    stderr);
         return exit_code::usage;
     }
+    if (words.has("log")) {
+        return show_logs(words, *filter);
+    }
     admin_client client;
     const auto targets = client.targets(words);
     if (!targets) {
--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -16,6 +16,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -263,6 +264,34 @@
             yield f"{name} ({kind}) got events that are not the beginning of its stream: {body[:80]!r}"
 
 
+def odd_log_lines(deployment):
+    """Lines of the entries' logs that are not of the form of docs/entry-log.json; a kill may cut the last one."""
+    with open(os.path.join(os.path.dirname(__file__), "..", "docs", "entry-log.json"), encoding="utf-8") as file:
+        form = json.load(file)
+    for name in deployment.entries:
+        with open(os.path.join(deployment.folder, name + ".log"), encoding="utf-8") as file:
+            lines = file.read().split("\n")
+        for number, text in enumerate(lines[:-1], 1):
+            # A daemon that was killed in the middle of a line is followed by the first line of the next one.
+            fault = line_fault(text, form)
+            if fault and '{"time"' not in text[1:]:
+                yield f"log line {number} of {name}: {fault}: {text[:200]}"
+
+
+def line_fault(text, form):
+    try:
+        line = json.loads(text)
+    except ValueError:
+        return "not JSON"
+    event = form["events"].get(line.get("event"))
+    if event is None:
+        return "unknown event"
+    fields = {**form["line"], **event}
+    if fields.keys() != line.keys():
+        return "other fields than documented"
+    return next((f"form of {name}" for name, pattern in fields.items() if not re.search(pattern, line[name])), None)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
@@ -294,7 +323,7 @@
         time.sleep(0.3)
     finally:
         deployment.stop()
-    problems = list(broken_promises(results, deployment.runs))
+    problems = list(broken_promises(results, deployment.runs)) + list(odd_log_lines(deployment))
     if not recovered:
         problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
     ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
--- a/observability/bounded_output.cpp
+++ b/observability/bounded_output.cpp
@@ -4,12 +4,14 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
+#include <utility>
 
 namespace clementinegap {
 
-bounded_output::bounded_output(int descriptor, std::size_t buffer_bytes, std::size_t bytes_per_second)
+bounded_output::bounded_output(int descriptor, std::size_t buffer_bytes, std::size_t bytes_per_second,
+                               dropped_line on_dropped)
     : descriptor_(descriptor), buffer_bytes_(buffer_bytes), bytes_per_second_(bytes_per_second),
-      allowance_(static_cast<double>(bytes_per_second))
+      on_dropped_(std::move(on_dropped)), allowance_(static_cast<double>(bytes_per_second))
 {
     const int flags = fcntl(descriptor_, F_GETFL);
     if (flags >= 0) {
@@ -37,8 +39,7 @@
     }
     last_us_ = now_us;
     if (dropped_ != reported_ && buffer_.size() < buffer_bytes_ / 2) {
-        buffer_.append(R"({"event":"log.dropped","detail":")" + std::to_string(dropped_ - reported_) +
-                       " lines\"}\n");
+        buffer_.append(on_dropped_(dropped_ - reported_, now_us));
         reported_ = dropped_;
     }
     while (!buffer_.empty()) {
--- a/router/decision_log.cpp
+++ b/router/decision_log.cpp
@@ -1,10 +1,11 @@
 #include "router/decision_log.h"
 
 #include "observability/logger.h"
+#include "observability/timeline.h"
 
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/sinks/base_sink.h>
-#include <unistd.h>
 
 namespace clementinegap {
 namespace {
@@ -26,10 +27,20 @@
     std::shared_ptr<bounded_output> output_;
 };
 
+std::string dropped_line(std::string_view vm, std::uint64_t lines, std::int64_t now_us)
+{
+    return fmt::format(
+               R"({{"time":"{}","level":"warning","vm":"{}","event":"log.dropped","detail":"{} lines"}})",
+               utc_text(now_us), json_escaped(vm), lines) +
+           "\n";
+}
+
 } // namespace
 
-decision_log::decision_log(const std::string& vm, const std::string& level)
-    : output_(std::make_shared<bounded_output>(STDOUT_FILENO, buffer_bytes, bytes_per_second)),
+decision_log::decision_log(const std::string& vm, const std::string& level, int descriptor)
+    : output_(std::make_shared<bounded_output>(
+          descriptor, buffer_bytes, bytes_per_second,
+          [vm](std::uint64_t lines, std::int64_t now_us) { return dropped_line(vm, lines, now_us); })),
       logger_(std::make_shared<spdlog::logger>("entry", std::make_shared<output_sink>(output_)))
 {
     logger_->set_level(spdlog::level::from_str(level));
@@ -40,8 +51,9 @@
 
 void decision_log::write(const log_decision& line)
 {
-    logger_->info(R"("event":"{}","request":"{}","upstream":"{}","detail":"{}")", line.event, line.request_id,
-                  line.upstream, line.detail);
+    // Ids come from callers and names from the configuration, so they may hold anything.
+    logger_->info(R"("event":"{}","request":"{}","upstream":"{}","detail":"{}")", line.event,
+                  json_escaped(line.request_id), json_escaped(line.upstream), json_escaped(line.detail));
 }
 
 void decision_log::info(std::string_view event, std::string_view detail)
--- a/router/decision_log.h
+++ b/router/decision_log.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <spdlog/logger.h>
 #include <string>
+#include <unistd.h>
 
 namespace clementinegap {
 
@@ -13,7 +14,8 @@
 /// It never blocks and has a bounded rate.
 class decision_log {
 public:
-    decision_log(const std::string& vm, const std::string& level);
+    /// \param descriptor of standard output, but for tests.
+    decision_log(const std::string& vm, const std::string& level, int descriptor = STDOUT_FILENO);
 
     void write(const log_decision& line);
     void info(std::string_view event, std::string_view detail);
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -95,7 +95,9 @@
 {
     int ends[2] = {-1, -1};
     BOOST_REQUIRE(pipe(ends) == 0);
-    bounded_output output(ends[1], 1000, 100000);
+    bounded_output output(ends[1], 1000, 100000, [](std::uint64_t lines, std::int64_t) {
+        return "log.dropped " + std::to_string(lines) + "\n";
+    });
     const std::string line(99, 'x');
     for (int i = 0; i < 5000; ++i) {
         output.append(line + "\n");
