The proof over failed requests, and what it found missing in the lines

Ruled out: dropped lines (no log.dropped in any of them).

Change: request.failure_passed; request.completed says upstream_failed; request.expired and request.caller_left say when the answer began; the explanation looks for the daemon's restart when an end is missing.

--- a/observability/routed_explanation.cpp
+++ b/observability/routed_explanation.cpp
@@ -67,7 +67,7 @@
 std::string after_ms(const timeline_event& first, const timeline_event& event)
 {
     constexpr std::int64_t us_per_ms = 1000;
-    return "+" + std::to_string((event.at.wall - first.at.wall) / us_per_ms) + " ms";
+    return std::string("+").append(std::to_string((event.at.wall - first.at.wall) / us_per_ms)).append(" ms");
 }
 
 std::string fault_text(const timeline_event& failed)
@@ -115,8 +115,8 @@
         return "  Nothing else was lost at " + failed.record.upstream +
                " then: a single broken connection or answer, not a crash of the upstream.\n";
     }
-    std::string text = "  At " + failed.record.upstream + " " + std::to_string(others.size()) +
-                       " other requests were lost within 50 ms";
+    std::string text = "  Requests lost at " + failed.record.upstream +
+                       " within 50 ms besides this one: " + std::to_string(others.size());
     text += unreachable ? ", and connections to it failed afterwards" : "";
     text += removed ? ", and it left the directory" : "";
     text += returned ? ", and it was listed anew" : "";
@@ -148,9 +148,28 @@
     return "it was refused: " + end.record.detail;
 }
 
+/// How far the answer was.
+std::string progress_text(const event_list& own, const timeline_event& end)
+{
+    const auto* sent = last_of(own, "request.sent");
+    const auto first = value_of(end, "first_ms");
+    if (sent == nullptr) {
+        return "it was not being sent";
+    }
+    return first == "none" ? "nothing had come from " + sent->record.upstream
+                           : "its answer had begun after " + first + " ms at " + sent->record.upstream;
+}
+
 std::string verdict_text(const event_list& own, const timeline_event& end)
 {
     const auto& kind = end.record.kind;
+    if (kind == "request.completed" && end.record.detail.ends_with("upstream_failed")) {
+        return "it was run by " + end.record.upstream +
+               ", which answered with a failure; that was passed on, since it may not be repeated";
+    }
+    if (kind == "request.failure_passed") {
+        return "its upstream's own failure was passed on, " + end.record.detail;
+    }
     if (kind == "request.completed") {
         return "it was answered after " + value_of(end, "total_ms") + " ms; the first event came after " +
                value_of(end, "first_ms") + " ms";
@@ -166,16 +185,42 @@
         return "its stream was broken off: it could not go on at another upstream";
     }
     if (kind == "request.expired") {
-        return "its time was over after " + value_of(end, "age_ms") + " ms";
+        return "its time was over after " + value_of(end, "age_ms") + " ms; " + progress_text(own, end);
     }
     if (kind == "request.caller_left") {
         const auto age = figure_of(end, "age_ms");
         return "its caller left after " + std::to_string(age) + " ms" +
-               (age > long_wait_ms ? ", perhaps at its own deadline" : "");
+               (age > long_wait_ms ? ", perhaps at its own deadline; " : "; ") + progress_text(own, end);
     }
     return "its end is not in these lines";
 }
 
+/// Why a request has no end: its daemon was killed, or goes on without having told.
+std::string missing_end_text(std::span<const timeline_event> events, const timeline_event& last)
+{
+    for (const auto& event : events) {
+        if (event.vm == last.vm && event.at.wall >= last.at.wall && event.record.kind == "daemon.started") {
+            return "  The process at " + last.vm + " ended without a word and was started again " +
+                   after_ms(last, event) + " later: its open requests were lost with it.\n";
+        }
+    }
+    const auto alive = std::ranges::any_of(events, [&](const timeline_event& event) {
+        return event.vm == last.vm && event.at.wall > last.at.wall;
+    });
+    return "  The process at " + last.vm +
+           (alive ? " wrote on: the request was still open, as when the path to its caller or upstream is "
+                    "cut.\n"
+                  : " wrote nothing more: it was killed, paused, or its log ends here.\n");
+}
+
+bool is_end(const timeline_event& event)
+{
+    constexpr std::array kinds{"request.completed",      "request.refused", "request.failed",
+                               "request.failure_passed", "request.cut",     "request.expired",
+                               "request.caller_left"};
+    return std::ranges::find(kinds, event.record.kind) != kinds.end();
+}
+
 std::string step_text(const timeline_event& event)
 {
     const auto& kind = event.record.kind;
@@ -226,6 +271,7 @@
         text += "Because " + value_of(*sent, "wait_ms") + " ms of other prompts were before it at " +
                 sent->record.upstream + ", the best engine for it.\n";
     }
+    text += is_end(end) ? "" : missing_end_text(events, end);
     text += store_context(events, end);
     text += "Step by step:\n";
     for (const auto* event : own) {
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -171,7 +171,7 @@
         request.may_have_run = true;
         actions_.emplace_back(stop_send{number});
     }
-    log("request.expired", request, "age_ms " + std::to_string(to_milliseconds(now_ - request.arrived)));
+    log("request.expired", request, describe_wait(request, now_));
     if (request.answer_begun) {
         actions_.emplace_back(cut_caller{number});
     } else if (request.may_have_run) {
@@ -242,6 +242,7 @@
         log("request.cut", request, std::string(to_string(fault)));
         actions_.emplace_back(cut_caller{request.number});
     } else if (fault == send_fault::failed_answer) {
+        log("request.failure_passed", request, "after " + std::to_string(request.sends) + " sends");
         actions_.emplace_back(pass_failure{request.number});
     } else if (!request.may_have_run) {
         code = request.sends == 0 ? result_code::no_upstream : result_code::overloaded;
@@ -298,7 +299,8 @@
     }
     log("request.completed", request,
         "total_ms " + std::to_string(to_milliseconds(now_ - request.arrived)) + " first_ms " +
-            std::to_string(to_milliseconds(request.first_event_after)));
+            std::to_string(to_milliseconds(request.first_event_after)) +
+            (event.upstream_failed ? " upstream_failed" : ""));
     release(request);
     finish(request, event.upstream_failed ? result_code::upstream_failed : result_code::ok);
 }
@@ -310,7 +312,7 @@
         return;
     }
     auto& request = found->second;
-    log("request.caller_left", request, "age_ms " + std::to_string(to_milliseconds(now_ - request.arrived)));
+    log("request.caller_left", request, describe_wait(request, now_));
     if (request.upstream) {
         actions_.emplace_back(stop_send{event.request});
     }
--- a/routing/send_order.cpp
+++ b/routing/send_order.cpp
@@ -35,4 +35,12 @@
     return text;
 }
 
+std::string describe_wait(const routed_request& request, time_point now)
+{
+    const auto age = to_milliseconds(now - request.arrived);
+    const auto first =
+        request.first_event ? std::to_string(to_milliseconds(request.first_event_after)) : "none";
+    return "age_ms " + std::to_string(age) + " first_ms " + first;
+}
+
 } // namespace clementinegap
--- a/routing/send_order.h
+++ b/routing/send_order.h
@@ -13,4 +13,7 @@
 /// What decided a send, for the log. Every figure has its name before it.
 std::string describe_send(const routed_request& request, const upstream_choice& choice, duration time_left);
 
+/// How long the request has been here, and when its answer began, for the log.
+std::string describe_wait(const routed_request& request, time_point now);
+
 } // namespace clementinegap
