--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -3,9 +3,9 @@
 
   misc/soak_routed.py --seed 1 --seconds 20 [--entries 2] [--upstreams 3]
 
-Real processes: entries, upstream stand-ins, a store stand-in. Each entry reaches the store through a proxy of this
-script that delays, resets or silences it; processes are killed, paused, stopped and started by signals, in series that
-overlap. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
+Real processes: entries, upstream stand-ins, a store stand-in. Each entry reaches the store, and all entries every other
+upstream, through a proxy of this script that delays, resets, silences, or loses the answers; processes are killed,
+paused, stopped and started by signals, in series that overlap. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
 the one to its own request and whole; a stream has no gap and no repeat; at the end, without faults, all is served.
 Exits 1 when a promise is broken and prints the seed. Ends only processes that it started.
 """
@@ -19,6 +19,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -33,7 +34,9 @@
 
 
 class Proxy:
-    """Forwards connections to the store; `mode` is fair, slow, silent or reset."""
+    """Forwards connections to a process; `mode` is fair, slow, silent, deaf (answers are lost) or reset."""
+
+    MODES = ("slow", "silent", "deaf", "reset")
 
     def __init__(self, target):
         self.target, self.mode = target, "fair"
@@ -49,17 +52,20 @@
     def serve(self, near):
         try:
             far = socket.create_connection(("127.0.0.1", self.target), 2)
-            threading.Thread(target=self.pump, args=(far, near), daemon=True).start()
-            self.pump(near, far)
+            threading.Thread(target=self.pump, args=(far, near, True), daemon=True).start()
+            self.pump(near, far, False)
         except OSError:
             near.close()
 
-    def pump(self, source, sink):
+    def pump(self, source, sink, is_answer):
         try:
             while data := source.recv(65536):
                 if self.mode == "reset":
-                    break
-                while self.mode == "silent":
+                    for each in (source, sink):
+                        each.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        each.close()
+                    return
+                while self.mode == "silent" or (self.mode == "deaf" and is_answer):
                     time.sleep(0.05)
                 if self.mode == "slow":
                     time.sleep(0.3)
@@ -86,16 +92,20 @@
         self.store_port = free_port()
         self.start("store", [f"{BIN}/routed_stand_in", "--store", str(self.store_port)])
         self.wait_for(self.store_port)
-        self.upstreams = {}
+        self.upstreams, self.proxies = {}, {}
         for n in range(upstreams):
-            self.upstreams[f"u{n}"] = free_port()
-            self.start(f"u{n}", [f"{BIN}/routed_stand_in", "--upstream", str(self.upstreams[f"u{n}"])])
+            port = free_port()
+            self.start(f"u{n}", [f"{BIN}/routed_stand_in", "--upstream", str(port)])
+            # Every other one is reached through a proxy; the ends of the rest are seen as they are.
+            if n % 2:
+                self.proxies[f"u{n}"] = Proxy(port)
+            self.upstreams[f"u{n}"] = self.proxies[f"u{n}"].port if n % 2 else port
         for name, port in self.upstreams.items():
             self.write("servers", name, {"service": "app", "address": f"127.0.0.1:{port}", "zone": "z", "slots": 64,
                                          "state": "ready", "born": 1})
         self.version = 0
         self.configure()
-        self.proxies, self.entries = {}, {}
+        self.entries = {}
         for n in range(entries):
             self.proxies[f"e{n}"] = Proxy(self.store_port)
             self.entries[f"e{n}"] = free_port()
@@ -221,7 +231,7 @@
         deployment.restart(name)
 
     def weather(name):
-        deployment.proxies[name].mode = randomly.choice(("slow", "silent", "reset"))
+        deployment.proxies[name].mode = randomly.choice(Proxy.MODES)
         time.sleep(randomly.uniform(0.3, 2))
         deployment.proxies[name].mode = "fair"
 
@@ -236,8 +246,8 @@
     while time.monotonic() < until:
         everyone = list(deployment.entries) + list(deployment.upstreams)
         name = randomly.choice(everyone)
-        is_entry = name in deployment.entries
-        action = randomly.choice((kill, pause, stop, weather) if is_entry else (kill, pause))
+        actions = [kill, pause] + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
+        action = randomly.choice(actions)
         if name not in busy:
             busy.add(name)
             threads.append(threading.Thread(target=run, args=(action, name)))
