Changes of the store's tables that follow each other are read together

Change: after an answer with changes the next call waits 300 ms, unless a second had been quiet before.

--- a/routing/table_follower.cpp
+++ b/routing/table_follower.cpp
@@ -9,6 +9,12 @@
 
 /// Each call is priced, so an idle one lasts long; the store allows 30 s.
 constexpr duration change_wait = seconds(20);
+/// Changes that follow each other are read together: each answer is a priced call of every daemon, and when a
+/// fleet starts, all its rows change. Short against the two seconds in which a configuration must be in
+/// force.
+constexpr duration batch_pause = milliseconds(300);
+/// A change that comes after so long a silence is read at once.
+constexpr duration quiet_time = seconds(1);
 constexpr duration first_pause = milliseconds(60);
 /// A configuration must be in force two seconds after the store is back.
 constexpr duration longest_pause = milliseconds(600);
@@ -43,6 +49,11 @@
     pause_ = duration::zero();
     next_at_ = now;
     if (following_) {
+        const bool quiet_before = now - changed_at_ >= quiet_time;
+        if (!page.rows.empty()) {
+            next_at_ = quiet_before ? now : now + batch_pause;
+            changed_at_ = now;
+        }
         version_ = std::max(version_, page.version);
         result.changes = std::move(page.rows);
         return result;
--- a/routing/table_follower.h
+++ b/routing/table_follower.h
@@ -62,6 +62,7 @@
 private:
     std::string table_;
     std::minstd_rand random_;
+    time_point changed_at_{}; ///< When changes were last read.
     bool following_{false};
     bool reachable_{true};
     std::uint64_t version_{0};
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -176,6 +176,28 @@
 
 BOOST_AUTO_TEST_SUITE(a_table_follower)
 
+BOOST_AUTO_TEST_CASE(reads_changes_together_that_follow_each_other)
+{
+    table_follower follower("servers", 1);
+    follower.on_page({{row("a", "1", 3)}, 10, false}, start);
+    BOOST_TEST_CONTEXT("the first change after a silence is followed at once")
+    {
+        follower.on_page({{row("b", "2", 11)}, 11, false}, start + seconds(5));
+        BOOST_TEST((follower.next_at() <= start + seconds(5)));
+    }
+    BOOST_TEST_CONTEXT("the next one is not")
+    {
+        follower.on_page({{row("c", "2", 12)}, 12, false}, start + milliseconds(5100));
+        BOOST_TEST((follower.next_at() > start + milliseconds(5200)));
+        BOOST_TEST((follower.next_at() <= start + milliseconds(5600)));
+    }
+    BOOST_TEST_CONTEXT("an answer without changes is")
+    {
+        follower.on_page({{}, 12, false}, start + milliseconds(5500));
+        BOOST_TEST((follower.next_at() <= start + milliseconds(5500)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(lists_all_pages_then_follows_from_the_first_pages_version)
 {
     table_follower follower("servers", 1);
