Engines are divided when a choice needs it, not at every change of the directory

Cause: a listing of the directory was taken over upstream by upstream, and each one divided all engines anew: time in the square of the fleet.

Ruled out: reports of the other entries: 24 us to decode and 1 us to count one of 780 bytes, 2990 a second at that size are 7% of a core and were there before and after; the calls to the store (2700 at a start, 2000 a second allowed).

Change: changes of directory and configuration mark the division as old; the next send of a request makes it.

The new test wants one division for a listing of 500 and 500 changes; before it were 1001.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -6,6 +6,7 @@
 #include "routing/send_order.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinegap {
 namespace {
@@ -97,6 +98,7 @@
     if (time_left < least_time) {
         return false;
     }
+    divide_engines();
     const auto choice = choose(request);
     request.room_in = choice.expected_wait;
     if (!choice.upstream || choice.expected_wait > time_left) {
@@ -380,10 +382,9 @@
     actions_.emplace_back(log_decision{"configuration.in_force", "", "",
                                        "version " + std::to_string(table_->version()) + " routes " +
                                            std::to_string(table_->route_count())});
+    division_is_old_ = true;
     if (first) {
         housekeeping();
-    } else {
-        update_partitions();
     }
 }
 
@@ -398,14 +399,14 @@
     }
     actions_.emplace_back(log_decision{"upstream.listed", "", event.record.id,
                                        event.record.service + (event.record.leaving ? " leaving" : "")});
-    update_partitions();
+    division_is_old_ = true;
 }
 
 void request_router::on(const upstream_removed& event)
 {
     directory_.erase(event.id, now_);
     actions_.emplace_back(log_decision{"upstream.removed", "", event.id, ""});
-    update_partitions();
+    division_is_old_ = true;
 }
 
 void request_router::on(const directory_listed& event)
@@ -416,7 +417,7 @@
         on(upstream_listed{each});
     }
     directory_.retain(ids, now_);
-    update_partitions();
+    division_is_old_ = true;
 }
 
 void request_router::on(const directory_unreachable&)
@@ -440,11 +441,12 @@
     }
 }
 
-void request_router::update_partitions()
+void request_router::divide_engines()
 {
-    if (!table_) {
+    if (!table_ || !std::exchange(division_is_old_, false)) {
         return;
     }
+    ++divisions_;
     placement_.update(*table_, directory_, ledger_.demands_of_others(), now_);
 }
 
@@ -455,7 +457,7 @@
     crashes_.expire(now_);
     placement_.expire(now_);
     directory_.expire(now_);
-    update_partitions();
+    division_is_old_ = true;
     timers_.schedule(now_ + housekeeping_interval, [this](time_point) { housekeeping(); });
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -49,6 +49,8 @@
     /// What the other daemons are to be told.
     load_report report(time_point now);
     const load_ledger& loads() const { return ledger_; }
+    /// How often the engines were divided anew; it costs time in proportion to the fleet.
+    std::uint64_t divisions() const { return divisions_; }
 
 private:
     void on(const request_arrived& event);
@@ -79,7 +81,8 @@
                 std::optional<duration> retry_after, std::string detail);
     void log(std::string_view event, const routed_request& request, std::string detail);
     void process_gone(std::string_view upstream);
-    void update_partitions();
+    /// Divides the engines anew if something has changed since it was last done.
+    void divide_engines();
     std::size_t daemons() const;
     duration jittered(duration value);
     retry_budget& budget(const std::string& service);
@@ -101,6 +104,8 @@
     std::vector<router_action> actions_;
     std::size_t registered_daemons_{1};
     std::uint64_t report_sequence_{0};
+    bool division_is_old_{false};
+    std::uint64_t divisions_{0};
     time_point last_end_{never};
 };
 
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -258,6 +258,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(divides_the_engines_once_for_a_whole_listing)
+{
+    directory_listed listing;
+    for (int i = 0; i < 500; ++i) {
+        listing.records.push_back(upstream("n" + std::to_string(i), "llm"));
+    }
+    arrive_generation("/draft/x", 41, 1000);
+    const auto before = router.divisions();
+    give(listing);
+    for (int i = 0; i < 500; ++i) {
+        auto record = upstream("n" + std::to_string(i), "llm");
+        record.incarnation = 2;
+        give(upstream_listed{record});
+    }
+    arrive_generation("/draft/x", 42, 1000);
+    BOOST_TEST(router.divisions() == before + 1);
+    BOOST_TEST(sent_to().starts_with("n"));
+}
+
 BOOST_AUTO_TEST_CASE(lets_a_session_use_its_own_engines_before_any_other)
 {
     std::set<std::string> used;
