--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -8,9 +8,9 @@
 namespace clementinegap {
 namespace {
 
-entry_settings core_settings(const settings& values)
+entry_core_settings core_settings(const settings& values)
 {
-    entry_settings result;
+    entry_core_settings result;
     result.vm = values.vm;
     result.zone = values.zone;
     std::random_device device;
--- a/request/entry_context.h
+++ b/request/entry_context.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/timer_service.h"
+#include "request/entry_core_settings.h"
 #include "request/entry_events.h"
 #include "request/entry_request.h"
-#include "request/entry_settings.h"
 
 #include <string>
 #include <string_view>
@@ -14,7 +14,7 @@
 /// What the parts of an entry core share: settings, time, the configuration and the list of actions that the
 /// present event has led to.
 struct entry_context {
-    explicit entry_context(entry_settings values) : settings(std::move(values)), random(settings.seed) {}
+    explicit entry_context(entry_core_settings values) : settings(std::move(values)), random(settings.seed) {}
 
     void act(entry_action action) { actions.push_back(std::move(action)); }
     void send(const std::string& vm, entry_message message);
@@ -24,7 +24,7 @@
     std::string new_request_id();
     bool is_late_bound() const { return std::holds_alternative<late_bound_placement>(settings.placement); }
 
-    entry_settings settings;
+    entry_core_settings settings;
     random_engine random;
     timer_service timers;
     time_point now{};
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-entry_core::entry_core(entry_settings settings)
+entry_core::entry_core(entry_core_settings settings)
     : context_(std::move(settings)), requests_(context_.settings.max_requests),
       attempts_(context_.settings.incarnation), admission_(context_), answers_(context_),
       search_(context_, pools_, attempts_, *this), moves_(context_, attempts_, requests_, search_)
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -19,7 +19,7 @@
 /// means for several of them is decided here.
 class entry_core : private slot_search_owner {
 public:
-    explicit entry_core(entry_settings settings);
+    explicit entry_core(entry_core_settings settings);
 
     /// Takes one event and returns what is to be done; the span is valid until the next call.
     std::span<const entry_action> on_event(const entry_event& event, time_point now);
--- a/request/entry_settings.h
+++ b/request/entry_core_settings.h
@@ -10,7 +10,7 @@
 namespace clementinegap {
 
 /// Bounds and identity of an entry daemon's core.
-struct entry_settings {
+struct entry_core_settings {
     std::string vm;
     std::string zone;
     std::uint64_t incarnation{1};
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -1,6 +1,5 @@
 #include "request/upstream_core.h"
 
-#include <cstdlib>
 #include <iterator>
 #include <utility>
 
@@ -8,30 +7,7 @@
 namespace {
 
 constexpr duration default_retry_after = seconds(1);
-constexpr duration announce_interval = seconds(60);
 constexpr int max_refused_at_once = 8;
-constexpr duration least_wait_step = milliseconds(50); ///< Of the expected wait, as it is reported.
-
-/// The expected wait in doublings, so that only a real change is reported.
-int wait_step(duration wait)
-{
-    int step = 0;
-    for (; wait >= least_wait_step; wait /= 2) {
-        ++step;
-    }
-    return step;
-}
-
-/// Only what changes a placement is worth a message: leaving, a slot becoming free or the last one taken, and
-/// the wait in doublings.
-bool changes_placements(const load_message& load, const load_message& published)
-{
-    return load.leaving != published.leaving || load.slowed != published.slowed ||
-           load.yields_tier != published.yields_tier ||
-           (load.free_slots == 0) != (published.free_slots == 0) ||
-           (load.queued == 0) != (published.queued == 0) ||
-           std::abs(wait_step(load.expected_wait) - wait_step(published.expected_wait)) > 1;
-}
 
 queued_work work_of(const upstream_attempt& attempt)
 {
@@ -52,8 +28,9 @@
 } // namespace
 
 upstream_core::upstream_core(upstream_settings settings)
-    : context_(std::move(settings)), attempts_(context_.settings.max_remembered), slots_(context_),
-      relay_(context_, slots_), keyed_(context_, attempts_, *this), suspects_(context_, attempts_)
+    : context_(std::move(settings)), sessions_(context_), attempts_(context_.settings.max_remembered),
+      slots_(context_), relay_(context_, slots_), keyed_(context_, attempts_, *this),
+      suspects_(context_, attempts_)
 {
 }
 
@@ -79,24 +56,12 @@
 
 void upstream_core::handle(const entry_connected& event)
 {
-    sessions_.insert(event.session);
-    const auto& settings = context_.settings;
-    hello_message hello;
-    hello.vm = settings.vm;
-    hello.zone = settings.zone;
-    hello.region = settings.region;
-    hello.incarnation = settings.incarnation;
-    hello.models = settings.models;
-    hello.slots = settings.slots;
-    hello.leaving = draining_;
-    context_.act(send_to_entry{event.session, hello});
-    context_.act(send_to_entry{event.session, current_load()});
-    announce_incarnation();
+    sessions_.opened(event.session, current_load());
 }
 
 void upstream_core::handle(const entry_disconnected& event)
 {
-    sessions_.erase(event.session);
+    sessions_.closed(event.session);
     const auto orphans =
         attempts_.where([&](const upstream_attempt& attempt) { return attempt.session == event.session; });
     for (const auto& attempt : orphans) {
@@ -499,15 +464,6 @@
     }
 }
 
-void upstream_core::announce_incarnation()
-{
-    if (announced_at_ != time_point{} && context_.now < announced_at_ + announce_interval) {
-        return;
-    }
-    announced_at_ = context_.now;
-    context_.act(publish_item{owner_item(context_.settings.vm, context_.settings.incarnation)});
-}
-
 void upstream_core::handle(const soft_item_seen& event)
 {
     keyed_.item_seen(event.item);
@@ -532,14 +488,7 @@
     if (auto item = slots_.report_due()) {
         context_.act(publish_item{std::move(*item)});
     }
-    const auto load = current_load();
-    if (!changes_placements(load, published_)) {
-        return;
-    }
-    published_ = load;
-    for (const auto session : sessions_) {
-        context_.act(send_to_entry{session, load});
-    }
+    sessions_.publish(current_load());
 }
 
 } // namespace clementinegap
--- a/request/upstream_core.h
+++ b/request/upstream_core.h
@@ -3,13 +3,13 @@
 #include "request/attempt_registry.h"
 #include "request/crash_suspects.h"
 #include "request/engine_relay.h"
+#include "request/entry_sessions.h"
 #include "request/keyed_runs.h"
 #include "request/slot_queue.h"
 #include "request/upstream_context.h"
 
 #include <algorithm>
 #include <cstdint>
-#include <set>
 #include <span>
 #include <string>
 
@@ -75,10 +75,9 @@
     load_message current_load() const;
     void publish_load();
     void plan_shutdown();
-    void announce_incarnation();
 
     upstream_context context_;
-    std::set<session_id> sessions_;
+    entry_sessions sessions_;
     attempt_registry attempts_;
     slot_queue slots_;
     engine_relay relay_;
@@ -86,11 +85,9 @@
     crash_suspects suspects_;
     timer_service::timer_id breaker_timer_{0};
     timer_service::timer_id shutdown_timer_{0};
-    load_message published_;
     bool draining_{false};
     bool drained_said_{false};
     time_point drain_gives_up_at_{never};
-    time_point announced_at_{};
 };
 
 } // namespace clementinegap
--- a/slopes/request_pipeline.cpp
+++ b/slopes/request_pipeline.cpp
@@ -18,9 +18,9 @@
     return "upstream-" + std::to_string(index);
 }
 
-entry_settings settings_of_entry(std::uint64_t seed)
+entry_core_settings settings_of_entry(std::uint64_t seed)
 {
-    entry_settings result;
+    entry_core_settings result;
     result.vm = "entry-1";
     result.zone = "zone-1";
     result.seed = seed;
--- a/slopes/slope_suite.cpp
+++ b/slopes/slope_suite.cpp
@@ -180,7 +180,7 @@
 void add_entry_memory(slope_table& table)
 {
     const time_point now(seconds(1));
-    entry_settings settings;
+    entry_core_settings settings;
     settings.max_requests = 2 * held_items;
     entry_core core(settings);
     core.on_event(configuration_applied{rules()}, now);
@@ -256,7 +256,7 @@
     configuration_cost result;
     result.text = static_cast<double>(text.size());
     result.apply_cpu = cpu_of(applications, [&](int /*round*/) {
-        entry_core core(entry_settings{});
+        entry_core core(entry_core_settings{});
         auto read = configuration_from_json(text);
         core.on_event(configuration_applied{std::make_shared<const configuration>(std::move(read).value())},
                       time_point(seconds(1)));
--- a/tests/benchmarks/bench_decisions.cpp
+++ b/tests/benchmarks/bench_decisions.cpp
@@ -83,7 +83,7 @@
 /// A request through an entry daemon: admitted, granted, started, five chunks, finished.
 double entry_cost(const size_of_deployment& size)
 {
-    entry_settings settings;
+    entry_core_settings settings;
     settings.vm = "entry-1";
     entry_core core(settings);
     time_point now{seconds(1000)};
--- a/tests/differential/test_against_naive.cpp
+++ b/tests/differential/test_against_naive.cpp
@@ -116,7 +116,7 @@
                              .add_workspace("desk", sha256_hex("key"))
                              .build()
                              .value());
-    entry_settings entry;
+    entry_core_settings entry;
     entry.vm = "entry-1";
     entry.seed = seed;
     deployment.add_entry(entry);
--- a/tests/experiments/experiment_run.cpp
+++ b/tests/experiments/experiment_run.cpp
@@ -114,9 +114,9 @@
         return result;
     }
 
-    entry_settings entry_of(int index) const
+    entry_core_settings entry_of(int index) const
     {
-        entry_settings result;
+        entry_core_settings result;
         result.vm = entry_name(index);
         result.zone = zone_name(index % about_.zones);
         result.incarnation = static_cast<std::uint64_t>(index) + 1;
@@ -140,7 +140,7 @@
         return result;
     }
 
-    static void make_naive(entry_settings& settings) { settings.placement = random_placement{}; }
+    static void make_naive(entry_core_settings& settings) { settings.placement = random_placement{}; }
     static void make_naive(upstream_settings& settings) { settings.order = fifo_order{}; }
 
     /// An engine that crashed is started again by its VM.
--- a/tests/fakes/fake_deployment.cpp
+++ b/tests/fakes/fake_deployment.cpp
@@ -54,7 +54,7 @@
 // --- Building
 // -------------------------------------------------------------------------------------------------
 
-void fake_deployment::add_entry(entry_settings settings)
+void fake_deployment::add_entry(entry_core_settings settings)
 {
     const auto vm = settings.vm;
     auto& node = entries_[vm];
--- a/tests/fakes/fake_deployment.h
+++ b/tests/fakes/fake_deployment.h
@@ -47,7 +47,7 @@
     time_point now() const { return scheduler_.now(); }
     void run_for(duration span) { scheduler_.run_until(now() + span); }
 
-    void add_entry(entry_settings settings);
+    void add_entry(entry_core_settings settings);
     void add_upstream(upstream_settings settings, fake_engine_options engine);
     /// Gives every daemon the configuration, also those that start later.
     void configure(configuration value);
@@ -92,7 +92,7 @@
 
 private:
     struct entry_node {
-        entry_settings settings;
+        entry_core_settings settings;
         std::unique_ptr<entry_core> core;
         std::vector<entry_event> waiting;
     };
--- a/tests/fakes/scenario.cpp
+++ b/tests/fakes/scenario.cpp
@@ -321,7 +321,7 @@
     deployment_->configure(configuration_);
     std::uint64_t incarnation = 0;
     for (const auto& vm : entry_names_) {
-        entry_settings entry;
+        entry_core_settings entry;
         entry.vm = vm;
         entry.incarnation = (incarnation += 1000);
         deployment_->add_entry(entry);
--- a/tests/process/process_deployment.cpp
+++ b/tests/process/process_deployment.cpp
@@ -12,9 +12,9 @@
 constexpr std::size_t ring_capacity = 65536;
 constexpr std::uint32_t slots = 256;
 
-entry_settings entry_values()
+entry_core_settings entry_values()
 {
-    entry_settings values;
+    entry_core_settings values;
     values.vm = "entry-1";
     values.zone = "zone-1";
     return values;
--- a/tests/request/test_attempt_moves.cpp
+++ b/tests/request/test_attempt_moves.cpp
@@ -29,9 +29,9 @@
         request->input.model = "assistant";
     }
 
-    static entry_settings settings()
+    static entry_core_settings settings()
     {
-        entry_settings values;
+        entry_core_settings values;
         values.placement_patience = seconds(1);
         return values;
     }
--- a/tests/request/test_deployment.cpp
+++ b/tests/request/test_deployment.cpp
@@ -20,7 +20,7 @@
                                  .add_workspace("shop", sha256_hex("key"))
                                  .build()
                                  .value());
-        entry_settings entry;
+        entry_core_settings entry;
         entry.vm = "entry-1";
         deployment.add_entry(entry);
         for (const auto* vm : {"upstream-1", "upstream-2"}) {
--- a/tests/request/test_entry_core.cpp
+++ b/tests/request/test_entry_core.cpp
@@ -13,7 +13,7 @@
 
 BOOST_AUTO_TEST_CASE(refuses_everything_before_it_has_a_configuration)
 {
-    entry_core core(entry_settings{});
+    entry_core core(entry_core_settings{});
     caller_request request;
     request.caller = 7;
     const auto actions = core.on_event(request, time_point(seconds(1)));
@@ -31,7 +31,7 @@
 
 BOOST_AUTO_TEST_CASE(asks_an_upstream_for_nothing_once_the_cluster_says_that_it_is_leaving)
 {
-    entry_core core(entry_settings{});
+    entry_core core(entry_core_settings{});
     auto now = time_point(seconds(1));
     const auto reserved_at = [](std::span<const entry_action> actions, const std::string& vm) {
         return std::ranges::count_if(actions, [&](const entry_action& action) {
@@ -127,7 +127,7 @@
         }));
     }
 
-    entry_core core{entry_settings{}};
+    entry_core core{entry_core_settings{}};
     time_point now{seconds(1)};
     std::vector<send_to_upstream> sent;
 };
@@ -196,7 +196,7 @@
 
 BOOST_AUTO_TEST_CASE(gives_up_waiting_work_of_a_lower_tier_when_its_table_is_full)
 {
-    entry_settings settings;
+    entry_core_settings settings;
     settings.max_requests = 1;
     entry_core core(settings);
     const time_point now(seconds(1));
--- a/tests/request/test_entry_parts.cpp
+++ b/tests/request/test_entry_parts.cpp
@@ -171,7 +171,7 @@
         return notice ? std::optional(notice->code) : std::nullopt;
     }
 
-    entry_context context{entry_settings{}};
+    entry_context context{entry_core_settings{}};
     entry_admission admission{context};
     request_table held{1};
     bool draining{false};
@@ -257,7 +257,7 @@
         return sum;
     }
 
-    entry_context context{entry_settings{}};
+    entry_context context{entry_core_settings{}};
     caller_answers answers{context};
     entry_request_ptr request{request_of(1)};
 };
--- a/tests/request/test_random_schedules.cpp
+++ b/tests/request/test_random_schedules.cpp
@@ -79,7 +79,7 @@
         value.workspaces = {{"shop", sha256_hex("key"), 1, {}}};
         deployment_.configure(value);
         for (const std::uint64_t i : {1, 2}) {
-            entry_settings entry;
+            entry_core_settings entry;
             entry.vm = "entry-" + std::to_string(i);
             entry.incarnation = i * 1000;
             entry.seed = random_();
--- a/tests/request/test_records.cpp
+++ b/tests/request/test_records.cpp
@@ -24,7 +24,7 @@
         value.classes = {booking};
         value.workspaces = {{"shop", sha256_hex("bearer"), 1, {}}};
         deployment.configure(value);
-        entry_settings entry;
+        entry_core_settings entry;
         entry.vm = "entry-1";
         deployment.add_entry(entry);
         upstream_settings upstream;
--- a/tests/request/test_upstream_parts.cpp
+++ b/tests/request/test_upstream_parts.cpp
@@ -1,6 +1,7 @@
 #include "request/attempt_registry.h"
 #include "request/crash_suspects.h"
 #include "request/engine_relay.h"
+#include "request/entry_sessions.h"
 #include "request/keyed_runs.h"
 #include "request/slot_queue.h"
 
@@ -265,6 +266,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(entries_are_told_what_matters_for_placements)
+{
+    upstream_context context{settings_of_upstream()};
+    context.now = start;
+    entry_sessions sessions(context);
+    load_message load;
+    load.free_slots = 1;
+    sessions.publish(load);
+    BOOST_TEST(context.actions.empty());
+    sessions.opened(7, load);
+    BOOST_TEST(sent_to_entries<hello_message>(context).size() == 1U);
+    BOOST_TEST(sent_to_entries<load_message>(context).size() == 1U);
+    BOOST_TEST(all_of<publish_item>(context.actions).size() == 1U);
+    BOOST_TEST_CONTEXT("a slot more or less does not matter, the last one does")
+    {
+        load.free_slots = 2;
+        sessions.publish(load);
+        BOOST_TEST(sent_to_entries<load_message>(context).size() == 1U);
+        load.free_slots = 0;
+        sessions.publish(load);
+        BOOST_TEST(sent_to_entries<load_message>(context).size() == 2U);
+    }
+    BOOST_TEST_CONTEXT("a closed session is told nothing")
+    {
+        sessions.closed(7);
+        load.leaving = true;
+        sessions.publish(load);
+        BOOST_TEST(sent_to_entries<load_message>(context).size() == 2U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(suspects_of_a_crash_run_one_at_a_time)
 {
     upstream_context context{settings_of_upstream()};
