--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -104,7 +104,9 @@
     fleet_.run(now);
     registration_.run(now);
     if (now >= next_report_) {
-        peers_.send(router_.report(now));
+        auto report = router_.report(now);
+        report.next_in = peers_.interval();
+        peers_.send(report);
         next_report_ = now + peers_.interval();
     }
     if (now >= next_sweep_) {
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 5;
+constexpr int layout = 6;
 
 } // namespace
 
@@ -31,9 +31,16 @@
     for (const auto& each : items) {
         spread.push_back({each.kind, each.key, each.value, each.lifetime.count()});
     }
-    const json document = {
-        layout,  report.daemon, report.incarnation, report.sequence, report.configuration_version, loads,
-        demands, spread,        placements};
+    const json document = {layout,
+                           report.daemon,
+                           report.incarnation,
+                           report.sequence,
+                           report.configuration_version,
+                           loads,
+                           demands,
+                           spread,
+                           placements,
+                           report.next_in.count()};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -52,6 +59,7 @@
         report.incarnation = document.at(2).get<std::uint64_t>();
         report.sequence = document.at(3).get<std::uint64_t>();
         report.configuration_version = document.at(4).get<std::uint64_t>();
+        report.next_in = duration(document.at(9).get<duration::rep>());
         for (const auto& each : document.at(5)) {
             report.loads.emplace_back(each.at(0).get<std::string>(),
                                       upstream_load{each.at(1).get<std::uint32_t>(),
--- a/routing/load_ledger.cpp
+++ b/routing/load_ledger.cpp
@@ -61,7 +61,9 @@
 void load_ledger::expire(time_point now)
 {
     for (auto each = reports_.begin(); each != reports_.end();) {
-        if (now - each->second.at < report_lifetime) {
+        const auto lifetime =
+            std::max<duration>(report_lifetime, each->second.report.next_in * report_intervals);
+        if (now - each->second.at < lifetime) {
             ++each;
             continue;
         }
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -38,13 +38,16 @@
     std::vector<std::pair<std::string, upstream_load>> loads; ///< By upstream id.
     std::vector<stream_demand> demands;
     std::vector<part_placement> placements; ///< Since the report before.
+    duration next_in{0}; ///< Until the daemon's next report; larger fleets report more rarely.
 };
 
 /// The load of every upstream as the sum of this daemon's own work and the latest reports of the others. A
-/// report that is not renewed within `report_lifetime` no longer counts: its daemon is gone or out of reach.
+/// report that is not renewed for several intervals no longer counts: its daemon is gone or out of reach.
 class load_ledger {
 public:
-    static constexpr duration report_lifetime = milliseconds(1500); ///< Several report intervals.
+    static constexpr duration report_lifetime = milliseconds(1500); ///< Many intervals of a small fleet.
+    /// Intervals after which a report no longer counts, where these are longer: two may be lost.
+    static constexpr int report_intervals = 3;
 
     /// \param short_gap whether the request is of the kind that tolerates the shortest gaps.
     void add(std::string_view upstream, std::uint32_t prefill_tokens, bool short_gap);
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -38,7 +38,8 @@
 
 BOOST_AUTO_TEST_CASE(come_back_as_they_were_and_survive_damage)
 {
-    load_report report{"d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5, 0, 0}}, {{"u", 77, 300}}};
+    load_report report{
+        "d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5, 0, 0}}, {{"u", 77, 300}}, seconds(2)};
     soft_item item;
     item.kind = "poison";
     item.key = "k";
@@ -51,6 +52,7 @@
     BOOST_TEST(back.value().report.sequence == 4U);
     BOOST_TEST((back.value().report.loads == report.loads));
     BOOST_TEST((back.value().report.placements == report.placements));
+    BOOST_TEST((back.value().report.next_in == seconds(2)));
     BOOST_TEST(back.value().items.front().key == "k");
     std::minstd_rand random(9);
     for (int round = 0; round < 5000; ++round) {
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -150,6 +150,17 @@
     BOOST_TEST(ledger.at("e").in_flight == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(waits_for_the_rarer_reports_of_a_large_fleet)
+{
+    load_ledger ledger;
+    load_report report{"b", 1, 1, 1, {{"e", upstream_load{3, 1, 100}}}, {}, {}, seconds(2)};
+    ledger.on_report(report, start);
+    ledger.expire(start + seconds(5));
+    BOOST_TEST(ledger.at("e").in_flight == 3U);
+    ledger.expire(start + seconds(6));
+    BOOST_TEST(ledger.at("e").in_flight == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_view_of_prompt_caches)
