What a send to one engine means is a function of its own

No change of behaviour: the cost of an engine and what is expected there were one long expression in a loop.

--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace clementinegap {
 namespace {
@@ -94,6 +95,38 @@
     return ranked;
 }
 
+/// What it means to send a request to one engine.
+struct engine_offer {
+    upstream_choice choice;
+    duration cost{duration::max()};
+};
+
+/// \param rank of the engine in the session's rendezvous order.
+engine_offer offer_of(const upstream_ptr& engine, std::size_t rank, const prompt_facts& prompt,
+                      const choice_view& view, const prompt_affinity& weights, const part_source& source)
+{
+    const auto* session = prompt.session();
+    const auto load = view.load.at(engine->id);
+    const auto lacking = session == nullptr ? 0U : view.caches.missing_tokens(engine->id, prompt, view.now);
+    const auto supply = supply_of(lacking, *engine, source, weights.reread_weight);
+    // The owner is where a session is brought to, so that it lacks the session once costs nothing.
+    const bool is_owner = session == nullptr || rank == 0;
+    const auto reread = is_owner ? 0U : std::min(session->tokens, supply.read);
+    const auto to_read = prompt.own_tokens() + reread;
+    const auto wait = prefill_time(load.prefill_tokens);
+    const auto beyond_slots = load.in_flight - std::min(load.in_flight, engine->slots - 1);
+    const bool is_near = session == nullptr || rank < weights.session_engines || supply.copies;
+
+    engine_offer offer;
+    offer.choice = {engine, wait, to_read, reread, supply.copies ? source.engine : nullptr};
+    offer.cost = wait + (is_owner ? duration::zero() : supply.cost) +
+                 weights.cost_per_stream * load.in_flight + weights.full_engine_cost * beyond_slots +
+                 (is_near ? duration::zero() : weights.further_engine_cost) +
+                 disturbance(load, to_read, view, weights) +
+                 scaled(cost_of_failure, view.health.failure_share(engine->id, view.now));
+    return offer;
+}
+
 } // namespace
 
 duration prefill_time(std::uint64_t tokens)
@@ -105,34 +138,15 @@
                               const choice_view& view, const prompt_affinity& weights,
                               const part_source& source)
 {
-    const auto* session = prompt.session();
-    const auto ranked = in_rendezvous_order(engines, session, view, weights.session_engines);
-    upstream_choice best;
-    duration best_cost = duration::max();
+    const auto ranked = in_rendezvous_order(engines, prompt.session(), view, weights.session_engines);
+    engine_offer best;
     for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-        const auto& each = ranked[rank].second;
-        const auto load = view.load.at(each->id);
-        const bool is_owner = session == nullptr || rank == 0;
-        const auto lacking = session == nullptr ? 0U : view.caches.missing_tokens(each->id, prompt, view.now);
-        // An owner is where the session is brought to, so that it lacks it once costs nothing.
-        const auto supply = supply_of(lacking, *each, source, weights.reread_weight);
-        const auto missing = is_owner ? 0U : std::min(session->tokens, supply.read);
-        const auto wait = prefill_time(load.prefill_tokens);
-        const auto cost =
-            wait + (is_owner ? duration::zero() : supply.cost) + weights.cost_per_stream * load.in_flight +
-            weights.full_engine_cost * (load.in_flight - std::min(load.in_flight, each->slots - 1)) +
-            (session == nullptr || rank < weights.session_engines || supply.copies
-                 ? duration::zero()
-                 : weights.further_engine_cost) +
-            disturbance(load, prompt.own_tokens() + missing, view, weights) +
-            scaled(cost_of_failure, view.health.failure_share(each->id, view.now));
-        if (cost < best_cost) {
-            best_cost = cost;
-            best = {each, wait, prompt.own_tokens() + missing, missing,
-                    supply.copies ? source.engine : nullptr};
+        auto offer = offer_of(ranked[rank].second, rank, prompt, view, weights, source);
+        if (offer.cost < best.cost) {
+            best = std::move(offer);
         }
     }
-    return best;
+    return best.choice;
 }
 
 upstream_choice choose_least_in_flight(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
--- a/simulation/workload.cpp
+++ b/simulation/workload.cpp
@@ -15,7 +15,6 @@
 
 /// Calls of one clump arrive within this time.
 constexpr double clump_ms = 60;
-/// A caller's estimate of the length is within a factor of the bound of what an answer may have.
 constexpr double ms_per_second = 1000;
 
 double draw(const size_distribution& size, random_source& random)
