A popular request that ended well a moment ago is not blamed for crashes

Ruled out: the proxies and the store (refusals name the quarantine, not a missing upstream); load (the same requests were answered at once with 200 as long as they were let through).

Change: crash_watch remembers for a minute which requests ended well, and does not blame these. What crashes upstreams never ends well.

--- a/routing/crash_watch.cpp
+++ b/routing/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include "routing/crash_watch.h"
 
+#include "core/digest.h"
+
 #include <set>
 
 namespace clementinegap {
@@ -18,7 +20,7 @@
     // Equal requests that were lost together are one suspect of one crash.
     std::set<std::string> lost;
     for (const auto& each : found->second) {
-        if (now - each.at <= evidence_span) {
+        if (now - each.at <= evidence_span && !is_trusted(each.fingerprint, now)) {
             lost.insert(each.fingerprint);
         }
     }
@@ -29,9 +31,18 @@
 
 std::optional<soft_item> crash_watch::ended_well(const std::string& fingerprint, time_point now)
 {
+    if (ended_well_at_.size() < max_trusted) {
+        ended_well_at_[hash64(fingerprint)] = now;
+    }
     return book_.ended_well(fingerprint, now);
 }
 
+bool crash_watch::is_trusted(const std::string& fingerprint, time_point now) const
+{
+    const auto found = ended_well_at_.find(hash64(fingerprint));
+    return found != ended_well_at_.end() && now - found->second <= trust_span;
+}
+
 bool crash_watch::is_quarantined(std::string_view fingerprint, time_point now) const
 {
     return book_.is_quarantined(fingerprint, now);
@@ -42,6 +53,7 @@
     for (auto& [upstream, losses] : losses_) {
         std::erase_if(losses, [&](const loss& each) { return now - each.at > evidence_span; });
     }
+    std::erase_if(ended_well_at_, [&](const auto& each) { return now - each.second > trust_span; });
     std::erase_if(losses_, [](const auto& each) { return each.second.empty(); });
 }
 
--- a/tests/routing/test_parts.cpp
+++ b/tests/routing/test_parts.cpp
@@ -135,6 +135,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_crash_watch)
+
+BOOST_AUTO_TEST_CASE(does_not_blame_a_popular_request_that_ended_well_a_moment_ago)
+{
+    crash_watch watch;
+    watch.ended_well("popular", start);
+    for (const auto* upstream : {"u1", "u2", "u3"}) {
+        watch.send_lost(upstream, "popular", start + seconds(1));
+        watch.process_gone(upstream, start + seconds(1));
+    }
+    BOOST_TEST(!watch.is_quarantined("popular", start + seconds(2)));
+    BOOST_TEST_CONTEXT("but one that has only ever been lost")
+    {
+        for (const auto* upstream : {"u1", "u2"}) {
+            watch.send_lost(upstream, "poison", start + seconds(2));
+            watch.process_gone(upstream, start + seconds(2));
+        }
+        BOOST_TEST(watch.is_quarantined("poison", start + seconds(3)));
+    }
+    BOOST_TEST_CONTEXT("nor is a good end of long ago any proof")
+    {
+        const auto later = start + seconds(100);
+        watch.expire(later);
+        for (const auto* upstream : {"u1", "u2"}) {
+            watch.send_lost(upstream, "popular", later);
+            watch.process_gone(upstream, later);
+        }
+        BOOST_TEST(watch.is_quarantined("popular", later));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_load_ledger)
 
 BOOST_AUTO_TEST_CASE(ignores_reports_that_are_older_than_the_last)
