--- a/net/http_client_connection.cpp
+++ b/net/http_client_connection.cpp
@@ -62,14 +62,19 @@
     }
 }
 
-void http_client_connection::on_bytes(std::string_view bytes)
+bool http_client_connection::is_awaited()
 {
-    if (ended_) {
-        return;
-    }
-    if (!busy_) {
+    if (!ended_ && !busy_) {
         ended_ = true;
         on_idle_end_();
+        return false;
+    }
+    return !ended_;
+}
+
+void http_client_connection::on_bytes(std::string_view bytes)
+{
+    if (!is_awaited()) {
         return;
     }
     while (!bytes.empty()) {
@@ -97,12 +102,7 @@
 
 void http_client_connection::on_closed(close_cause cause)
 {
-    if (ended_) {
-        return;
-    }
-    if (!busy_) {
-        ended_ = true;
-        on_idle_end_();
+    if (!is_awaited()) {
         return;
     }
     if (cause == close_cause::end_of_stream && reader_.begun()) {
--- a/net/http_client_connection.h
+++ b/net/http_client_connection.h
@@ -61,6 +61,8 @@
     void on_connected() override;
     void on_bytes(std::string_view bytes) override;
     void on_closed(close_cause cause) override;
+    /// Whether what arrives belongs to an exchange; tells the owner when an idle connection is over.
+    bool is_awaited();
     void fail(const exchange_failure& why);
     void finish(bool reusable);
 
--- a/request/entry_admission.cpp
+++ b/request/entry_admission.cpp
@@ -7,11 +7,6 @@
 #include <algorithm>
 
 namespace clementinegap {
-namespace {
-
-constexpr duration default_retry_after = seconds(1);
-
-} // namespace
 
 void entry_admission::index_configuration()
 {
@@ -129,10 +124,9 @@
     return {code, keyed ? ran_for_key(code, ran_state::no) : ran_state::no, retry_after, ""};
 }
 
-entry_request_ptr entry_admission::admit(const caller_request& input) const
+entry_request_ptr entry_admission::admit(const caller_request& input, const workspace& owner,
+                                         const request_class& rules) const
 {
-    const auto& owner = *workspace_of(input.key_sha256);
-    const auto& rules = *class_of(input);
     auto request = std::make_shared<entry_request>();
     request->input = input;
     request->id = context_.new_request_id();
--- a/request/entry_admission.h
+++ b/request/entry_admission.h
@@ -29,7 +29,8 @@
     /// Charges the limits of the workspace; a refusal when one is used up. Only after `refusal_of`.
     std::optional<failure_notice> charge_limits(const workspace& owner, const request_class& rules);
     /// Only for a request that `refusal_of` lets in.
-    entry_request_ptr admit(const caller_request& input) const;
+    entry_request_ptr admit(const caller_request& input, const workspace& owner,
+                            const request_class& rules) const;
 
     const workspace* workspace_of(const std::string& key_sha256) const;
     const request_class* class_of(const caller_request& input) const;
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -8,11 +8,6 @@
 #include <utility>
 
 namespace clementinegap {
-namespace {
-
-constexpr duration displaced_retry_after = seconds(1);
-
-} // namespace
 
 entry_core::entry_core(entry_core_settings settings)
     : context_(std::move(settings)), requests_(context_.settings.max_requests),
@@ -42,15 +37,16 @@
         context_.act(model_list_answer(event.caller, pools_.views(), context_.new_request_id()));
         return;
     }
+    const auto& owner = *admission_.workspace_of(event.key_sha256);
     const auto& rules = *admission_.class_of(event);
-    if (const auto notice = admission_.charge_limits(*admission_.workspace_of(event.key_sha256), rules)) {
+    if (const auto notice = admission_.charge_limits(owner, rules)) {
         answers_.refuse(event, *notice);
         return;
     }
     if (requests_.full()) {
         make_room_for(rules.tier);
     }
-    const auto request = admission_.admit(event);
+    const auto request = admission_.admit(event, owner, rules);
     request->deadline_timer =
         context_.timers.schedule(request->deadline_at, [this, request](time_point) { on_deadline(request); });
     requests_.add(request);
@@ -65,7 +61,7 @@
     const auto displaced = requests_.waiting_below(tier);
     context_.record(*displaced, "request.displaced", "",
                     "the table is full and a request of a higher tier came");
-    fail(displaced, {result_code::table_full, ran_state::no, displaced_retry_after, ""});
+    fail(displaced, {result_code::table_full, ran_state::no, default_retry_after, ""});
 }
 
 void entry_core::handle(const caller_drained& event)
--- a/request/keyed_runs.cpp
+++ b/request/keyed_runs.cpp
@@ -4,11 +4,6 @@
 #include <utility>
 
 namespace clementinegap {
-namespace {
-
-constexpr duration default_retry_after = seconds(1);
-
-} // namespace
 
 keyed_runs::keyed_runs(upstream_context& context, const attempt_registry& attempts, attempt_owner& owner)
     : context_(context), attempts_(attempts), owner_(owner), claims_(context.settings.claims)
--- a/request/messages.h
+++ b/request/messages.h
@@ -88,6 +88,9 @@
     bool operator==(const granted_message&) const = default;
 };
 
+/// Told to those who are refused while nothing better is known.
+inline constexpr duration default_retry_after = seconds(1);
+
 /// The attempt was never started and never will be.
 struct refused_message {
     attempt_id attempt;
--- a/request/slot_queue.cpp
+++ b/request/slot_queue.cpp
@@ -8,7 +8,6 @@
 namespace clementinegap {
 namespace {
 
-constexpr duration default_retry_after = seconds(1);
 constexpr duration longest_retry_after = seconds(30);
 constexpr std::uint32_t lent_slice_tokens = 64; ///< Of the slice that an unserved class is given.
 constexpr duration least_slice_wait = milliseconds(100);
--- a/request/slot_search.cpp
+++ b/request/slot_search.cpp
@@ -7,7 +7,6 @@
 namespace clementinegap {
 namespace {
 
-constexpr duration default_retry_after = seconds(1);
 constexpr duration least_retry_after = milliseconds(100);
 constexpr duration quarantine_retry_after = std::chrono::minutes(10);
 constexpr std::int64_t widenings_per_target =
--- a/request/upstream_core.cpp
+++ b/request/upstream_core.cpp
@@ -6,7 +6,6 @@
 namespace clementinegap {
 namespace {
 
-constexpr duration default_retry_after = seconds(1);
 constexpr int max_refused_at_once = 8;
 
 queued_work work_of(const upstream_attempt& attempt)
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -25,11 +25,6 @@
            static_cast<std::uint64_t>(value.tv_nsec) / 1000000;
 }
 
-std::string address_text(const endpoint& address)
-{
-    return address.ip + ":" + std::to_string(address.port);
-}
-
 router_settings router_settings_of(const entry_settings& settings, std::uint64_t incarnation)
 {
     router_settings result;
@@ -68,7 +63,7 @@
       fleet_(loop_, settings_.store_address, std::string(fleet_table), incarnation_ + 2,
              [this](table_follower::progress progress) { on_fleet(std::move(progress)); }),
       registration_(loop_, settings_.store_address, std::string(fleet_table), settings_.vm,
-                    address_text(settings_.peer_address))
+                    to_string(settings_.peer_address))
 {
 }
 
@@ -80,12 +75,12 @@
     loop_.on_signal(SIGHUP, [this] { reload(); });
     if (!gateway_.listen(settings_.caller_address) || !probes_.listen(settings_.readiness_address) ||
         !peers_.bind(settings_.peer_address) || !peer_requests_.listen(settings_.peer_address)) {
-        log_.warn("daemon.cannot_listen", address_text(settings_.caller_address));
+        log_.warn("daemon.cannot_listen", to_string(settings_.caller_address));
         log_.flush(event_loop::now());
         return exit_cannot_listen;
     }
-    log_.info("daemon.started", "callers " + address_text(settings_.caller_address) + " store " +
-                                    address_text(settings_.store_address));
+    log_.info("daemon.started", "callers " + to_string(settings_.caller_address) + " store " +
+                                    to_string(settings_.store_address));
     wake();
     loop_.run();
     log_.info("daemon.stopped", "open requests " + std::to_string(gateway_.open_requests()));
@@ -293,7 +288,7 @@
         fleet_.set_store(next.store_address);
     }
     // The addresses that this process listens at are its own for its life.
-    log_.info("daemon.reloaded", "store " + address_text(settings_.store_address));
+    log_.info("daemon.reloaded", "store " + to_string(settings_.store_address));
 }
 
 } // namespace clementinegap
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -1,8 +1,8 @@
 #include "router/entry_settings.h"
 
 #include "core/checked_json.h"
+#include "routing/scaled_duration.h"
 
-#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -19,20 +19,6 @@
     return parsed.value_or(endpoint{});
 }
 
-placement_rule read_placement(object_reader& reader)
-{
-    constexpr std::array<std::string_view, 2> rules = {"prompt_affinity", "least_in_flight"};
-    if (reader.choice("placement", rules, "prompt_affinity") == "least_in_flight") {
-        return least_in_flight{};
-    }
-    return prompt_affinity{};
-}
-
-duration seconds_of(double value)
-{
-    return duration(static_cast<duration::rep>(value * 1e6));
-}
-
 } // namespace
 
 outcome<entry_settings> entry_settings_from_text(std::string_view text)
@@ -52,12 +38,13 @@
     result.peer_address = read_endpoint(reader, "peer_address");
     result.metrics_path = reader.string("metrics_path", "/metrics");
     result.store_address = read_endpoint(reader, "store_address");
-    result.placement = read_placement(reader);
+    result.placement = placement_rule_named(
+        reader.choice("placement", placement_rule_names, std::string(placement_rule_names.front())));
     constexpr double most_seconds = 3600;
     result.retry_ratio = reader.number("retry_ratio", 0, 1, 0.2);
-    result.retry_window = seconds_of(reader.number("retry_window_s", 1, most_seconds, 10));
+    result.retry_window = scaled(seconds(1), reader.number("retry_window_s", 1, most_seconds, 10));
     result.retry_slack = reader.number("retry_slack", 0, 1e6, 0);
-    result.stop_grace = seconds_of(reader.number("stop_grace_s", 1, most_seconds, 8));
+    result.stop_grace = scaled(seconds(1), reader.number("stop_grace_s", 1, most_seconds, 8));
     reader.finish();
     if (!faults.empty()) {
         return failure(result_code::invalid_settings, faults.text());
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -19,7 +19,7 @@
     events_.drop_rest();
     connection_ = by_.pool().take(*order.upstream, event_loop::now());
     if (!connection_) {
-        by_.post(send_failed{number_, send_fault::unreachable, begun_, false});
+        by_.post(send_failed{number_, send_fault::unreachable, begun_});
         return;
     }
     auto request = encode_request({head_, order, true, body_.size(), events_.last_id()});
@@ -150,18 +150,18 @@
         stop_send();
     }
     if (fault_) {
-        report_fault(*fault_, true);
+        report_fault(*fault_);
         return;
     }
     if (!is_success() && order_.repeatable && answer_.status >= 500) {
-        report_fault(send_fault::failed_answer, true);
+        report_fault(send_fault::failed_answer);
         return;
     }
     const bool cannot_end = begun_ && framing_ == body_framing::chunked && unframed_;
     if (order_.is_stream && is_success() && (events_.has_rest() || cannot_end)) {
         // The stream ended in the middle of an event, or it was resumed and nobody can tell whether it is
         // whole.
-        report_fault(send_fault::lost, true);
+        report_fault(send_fault::lost);
         return;
     }
     by_.post(request_completed{number_, !is_success()});
@@ -194,19 +194,19 @@
 {
     stop_send();
     if (fault_ && *fault_ != send_fault::bad_answer) {
-        report_fault(*fault_, true);
+        report_fault(*fault_);
         return;
     }
     if (!why.connected) {
-        report_fault(send_fault::unreachable, false);
+        report_fault(send_fault::unreachable);
         return;
     }
-    report_fault(why.not_http ? send_fault::bad_answer : send_fault::lost, false);
+    report_fault(why.not_http ? send_fault::bad_answer : send_fault::lost);
 }
 
-void exchange::report_fault(send_fault fault, bool alive)
+void exchange::report_fault(send_fault fault)
 {
-    by_.post(send_failed{number_, fault, begun_, alive});
+    by_.post(send_failed{number_, fault, begun_});
 }
 
 void exchange::answer(const answer_caller& order)
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -62,7 +62,7 @@
     void pass_events(std::string events);
     void pass_held();
     void end_caller(bool close);
-    void report_fault(send_fault fault, bool alive);
+    void report_fault(send_fault fault);
 
     owner& by_;
     http_server_connection* caller_;
--- a/router/store_link.cpp
+++ b/router/store_link.cpp
@@ -8,11 +8,6 @@
 constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 
-std::string host_of(const endpoint& store)
-{
-    return store.ip + ":" + std::to_string(store.port);
-}
-
 /// A silent connection to the store must show well before a configuration is due.
 constexpr silence_limits store_silence{1, 1, 1, 1500};
 
@@ -64,7 +59,7 @@
     under_way_ = true;
     give_up_at_ = now + call.wait + answer_timeout;
     body_.clear();
-    connection_->start(encode_table_read(call, host_of(store_)), *this);
+    connection_->start(encode_table_read(call, to_string(store_)), *this);
 }
 
 void table_reader::set_store(endpoint store)
@@ -128,7 +123,7 @@
 
 row_writer::row_writer(event_loop& loop, endpoint store, std::string table, std::string key,
                        std::string value)
-    : loop_(loop), store_(std::move(store)), request_(encode_row_write(table, key, value, host_of(store_)))
+    : loop_(loop), store_(std::move(store)), request_(encode_row_write(table, key, value, to_string(store_)))
 {
 }
 
--- a/router/upstream_pool.cpp
+++ b/router/upstream_pool.cpp
@@ -13,7 +13,7 @@
 
 std::string upstream_pool::key_of(const upstream_record& upstream)
 {
-    return upstream.id + "@" + upstream.address.ip + ":" + std::to_string(upstream.address.port);
+    return upstream.id + "@" + to_string(upstream.address);
 }
 
 connection_ptr upstream_pool::take(const upstream_record& upstream, time_point now)
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -25,6 +25,10 @@
         const auto* target = table.find_service(way.targets.front().service);
         configured_kinds_.push_back({step_tolerance(way, target), 0, 0, way.priority});
     }
+    const auto [least, most] =
+        std::ranges::minmax_element(configured_kinds_, {}, &stream_demand::step_tolerance);
+    const bool differ = least != most && least->step_tolerance < most->step_tolerance;
+    shortest_gap_ = differ ? std::optional(least->step_tolerance) : std::nullopt;
 }
 
 void generation_placement::update(const route_table& table, const upstream_directory& directory,
@@ -50,14 +54,6 @@
     return way.max_gap / std::max(1U, target->engine->tokens_per_event);
 }
 
-bool generation_placement::has_shortest_gap(const routed_request& request) const
-{
-    const auto [least, most] =
-        std::ranges::minmax_element(configured_kinds_, {}, &stream_demand::step_tolerance);
-    return least != configured_kinds_.end() && least->step_tolerance < most->step_tolerance &&
-           request.step_tolerance <= least->step_tolerance;
-}
-
 void generation_placement::count_demand(const routed_request& request, time_point now)
 {
     const auto* target = request.table->find_service(request.service);
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -10,6 +10,7 @@
 #include "routing/upstream_directory.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,7 +34,10 @@
     /// Time that a stream of this route tolerates for one token.
     static duration step_tolerance(const route& way, const service* target);
     /// Whether no kind of stream of the configuration tolerates shorter gaps, and some tolerate longer ones.
-    bool has_shortest_gap(const routed_request& request) const;
+    bool has_shortest_gap(const routed_request& request) const
+    {
+        return shortest_gap_ && request.step_tolerance <= *shortest_gap_;
+    }
     void count_demand(const routed_request& request, time_point now);
 
     upstream_choice choose(const routed_request& request, const choice_view& view) const;
@@ -69,6 +73,7 @@
     engine_pace pace_;
     prompt_cache_view caches_;
     std::vector<stream_demand> configured_kinds_;
+    std::optional<duration> shortest_gap_; ///< Step tolerance of that kind; nothing when all are alike.
     std::vector<part_placement> unreported_;
     std::map<std::string, engine_partition, std::less<>> partitions_;
 };
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -2,7 +2,9 @@
 
 #include "core/time.h"
 
+#include <array>
 #include <cstddef>
+#include <string_view>
 #include <variant>
 
 namespace clementinegap {
@@ -37,4 +39,15 @@
 /// How generations are placed.
 using placement_rule = std::variant<prompt_affinity, least_in_flight>;
 
+/// The rules by the names that settings and plans use, in the order of the variant.
+inline constexpr std::array<std::string_view, 2> placement_rule_names = {"prompt_affinity",
+                                                                         "least_in_flight"};
+
+/// The rule of a name out of `placement_rule_names`, with its usual weights.
+inline placement_rule placement_rule_named(std::string_view name)
+{
+    return name == placement_rule_names[1] ? placement_rule(least_in_flight{})
+                                           : placement_rule(prompt_affinity{});
+}
+
 } // namespace clementinegap
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -50,14 +50,21 @@
     }
 }
 
+const prompt_cache_view::held_part* prompt_cache_view::believed(const engine_cache& cache, std::uint64_t part,
+                                                                time_point now)
+{
+    const auto place = cache.places.find(part);
+    const bool is_held = place != cache.places.end() && now - place->second->used <= believed_for;
+    return is_held ? &*place->second : nullptr;
+}
+
 bool prompt_cache_view::has_read(std::string_view upstream, std::span<const prompt_part> parts,
                                  time_point now) const
 {
     const auto found = engines_.find(std::string(upstream));
     return found != engines_.end() && std::ranges::all_of(parts, [&](const prompt_part& part) {
-               const auto place = found->second.places.find(part.id);
-               return place != found->second.places.end() && now - place->second->since >= read_after &&
-                      now - place->second->used <= believed_for;
+               const auto* held = believed(found->second, part.id, now);
+               return held != nullptr && now - held->since >= read_after;
            });
 }
 
@@ -84,18 +91,15 @@
 std::uint32_t prompt_cache_view::missing_tokens(std::string_view upstream, const prompt_facts& prompt,
                                                 time_point now) const
 {
-    if (prompt.parts.size() < 2) {
+    const auto shared = prompt.shared_parts();
+    if (shared.empty()) {
         return 0;
     }
-    const auto shared = prompt.shared_parts();
     const auto found = engines_.find(std::string(upstream));
     std::uint32_t missing = 0;
     bool gap = found == engines_.end();
     for (const auto& part : shared) {
-        if (!gap) {
-            const auto place = found->second.places.find(part.id);
-            gap = place == found->second.places.end() || now - place->second->used > believed_for;
-        }
+        gap = gap || believed(found->second, part.id, now) == nullptr;
         missing += gap ? part.tokens : 0;
     }
     return missing;
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -64,6 +64,8 @@
         std::uint64_t tokens{0};
     };
 
+    /// The part that the engine is believed to hold still; nullptr without one.
+    static const held_part* believed(const engine_cache& cache, std::uint64_t part, time_point now);
     void forget_holder(std::uint64_t part, const std::string& upstream);
 
     std::uint64_t capacity_{default_capacity};
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -41,8 +41,7 @@
 struct send_failed {
     request_number request{0};
     send_fault fault{send_fault::lost};
-    bool answer_begun{false};  ///< The caller has the head of the answer.
-    bool upstream_alive{true}; ///< False when the process at the other end is gone.
+    bool answer_begun{false}; ///< The caller has the head of the answer.
 };
 
 /// The first event of a stream came.
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -107,7 +107,7 @@
 {
     const auto* session = prompt.session();
     const auto load = view.load.at(engine->id);
-    const auto lacking = session == nullptr ? 0U : view.caches.missing_tokens(engine->id, prompt, view.now);
+    const auto lacking = view.caches.missing_tokens(engine->id, prompt, view.now);
     const auto supply = supply_of(lacking, *engine, source, weights.reread_weight);
     // The owner is where a session is brought to, so that it lacks the session once costs nothing.
     const bool is_owner = session == nullptr || rank == 0;
@@ -131,7 +131,7 @@
 
 duration prefill_time(std::uint64_t tokens)
 {
-    return duration(static_cast<duration::rep>(static_cast<double>(tokens) / prefill_tokens_per_ms * 1000));
+    return scaled(milliseconds(1), static_cast<double>(tokens) / prefill_tokens_per_ms);
 }
 
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
--- a/routing/upstream_record.cpp
+++ b/routing/upstream_record.cpp
@@ -20,4 +20,9 @@
     return result;
 }
 
+std::string to_string(const endpoint& value)
+{
+    return value.ip + ":" + std::to_string(value.port);
+}
+
 } // namespace clementinegap
--- a/routing/upstream_record.h
+++ b/routing/upstream_record.h
@@ -18,6 +18,8 @@
 
 /// Reads "IP:PORT"; nothing for another text.
 std::optional<endpoint> parse_endpoint(std::string_view text);
+/// "IP:PORT".
+std::string to_string(const endpoint& value);
 
 /// What an upstream says of itself in the platform's directory.
 struct upstream_record {
--- a/simulation/engine_model.cpp
+++ b/simulation/engine_model.cpp
@@ -1,5 +1,7 @@
 #include "simulation/engine_model.h"
 
+#include "routing/scaled_duration.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,11 +11,6 @@
 constexpr double pairs_per_million = 1e6;
 constexpr double us_per_ms = 1000;
 
-duration from_us(double value)
-{
-    return duration(static_cast<duration::rep>(value));
-}
-
 } // namespace
 
 void engine_model::submit(engine_run run, time_point now)
@@ -195,7 +192,7 @@
     const double read_us = reading / figures_.prompt_tokens_per_ms * us_per_ms +
                            pairs / pairs_per_million * figures_.attention_ms_per_million * us_per_ms;
     return figures_.step + figures_.step_per_stream * streams +
-           from_us(context / 1000 * figures_.context_us_per_1000_tokens + read_us);
+           scaled(microseconds(1), context / 1000 * figures_.context_us_per_1000_tokens + read_us);
 }
 
 } // namespace clementinegap
--- a/simulation/simulation_plan.cpp
+++ b/simulation/simulation_plan.cpp
@@ -1,7 +1,8 @@
 #include "simulation/simulation_plan.h"
 
+#include "routing/scaled_duration.h"
+
 #include <algorithm>
-#include <array>
 
 namespace clementinegap {
 namespace {
@@ -14,15 +15,10 @@
 constexpr std::int64_t most_engines = 1000;
 constexpr std::int64_t most_routers = 400;
 
-duration from_ms(double value)
-{
-    return duration(static_cast<duration::rep>(value * 1000));
-}
-
 duration read_ms(object_reader& reader, std::string_view name, duration fallback)
 {
     const double value = std::chrono::duration<double, std::milli>(fallback).count();
-    return from_ms(reader.number(name, 0, most_ms, value));
+    return scaled(milliseconds(1), reader.number(name, 0, most_ms, value));
 }
 
 std::uint32_t small_count(object_reader& reader, std::string_view name, std::int64_t most,
@@ -126,19 +122,8 @@
     return result;
 }
 
-tried_placement read_placement(const json& value, const std::string& path, fault_list& faults)
+void read_weights(object_reader& reader, prompt_affinity& weights)
 {
-    constexpr std::array<std::string_view, 2> rules = {"prompt_affinity", "least_in_flight"};
-    object_reader reader(value, path, faults);
-    tried_placement result;
-    const auto rule = reader.choice("rule", rules);
-    result.name = reader.string("name", rule);
-    if (rule == "least_in_flight") {
-        result.rule = least_in_flight{};
-        reader.finish();
-        return result;
-    }
-    prompt_affinity weights;
     weights.session_engines = small_count(reader, "session_engines", most_engines,
                                           static_cast<std::uint32_t>(weights.session_engines));
     weights.further_engine_cost = read_ms(reader, "further_engine_ms", weights.further_engine_cost);
@@ -146,7 +131,18 @@
     weights.disturbance_cost = read_ms(reader, "disturbance_ms", weights.disturbance_cost);
     weights.cost_per_stream = read_ms(reader, "ms_per_stream", weights.cost_per_stream);
     weights.full_engine_cost = read_ms(reader, "full_engine_ms", weights.full_engine_cost);
-    result.rule = weights;
+}
+
+tried_placement read_placement(const json& value, const std::string& path, fault_list& faults)
+{
+    object_reader reader(value, path, faults);
+    tried_placement result;
+    const auto rule = reader.choice("rule", placement_rule_names);
+    result.name = reader.string("name", rule);
+    result.rule = placement_rule_named(rule);
+    if (auto* weights = std::get_if<prompt_affinity>(&result.rule)) {
+        read_weights(reader, *weights);
+    }
     reader.finish();
     return result;
 }
@@ -164,7 +160,7 @@
     object_reader reader(*document, "", faults);
     result.name = reader.string("name");
     result.seed = static_cast<std::uint64_t>(reader.integer("seed", 0, 1LL << 40, 1));
-    result.run = from_ms(1000 * reader.number("run_s", 1, most_seconds, 30));
+    result.run = scaled(seconds(1), reader.number("run_s", 1, most_seconds, 30));
     result.zones = small_count(reader, "zones", 100, 1);
     result.routers = small_count(reader, "routers", most_routers, 4);
     result.engines = small_count(reader, "engines", most_engines, 12);
@@ -175,7 +171,7 @@
     result.to_callers = read_ms(reader, "to_callers_ms", result.to_callers);
     result.report_interval = read_ms(reader, "report_interval_ms", result.report_interval);
     result.wave_swing = reader.number("wave_swing", 0, 1, result.wave_swing);
-    result.wave_period = from_ms(1000 * reader.number("wave_period_s", 0.1, most_seconds, 13));
+    result.wave_period = scaled(seconds(1), reader.number("wave_period_s", 0.1, most_seconds, 13));
     result.clump = reader.number("clump", 1, 1000, result.clump);
     reader.objects(
         "kinds",
--- a/simulation/workload.cpp
+++ b/simulation/workload.cpp
@@ -1,6 +1,7 @@
 #include "simulation/workload.h"
 
 #include "core/digest.h"
+#include "routing/scaled_duration.h"
 
 #include <algorithm>
 #include <cmath>
@@ -136,15 +137,15 @@
         std::poisson_distribution<int> others(plan.clump - 1);
         std::uniform_real_distribution<double> within(0, 1);
         for (double at = pause(random); at < run_ms; at += pause(random)) {
-            const auto time = duration(static_cast<duration::rep>(at * ms_per_second));
+            const auto time = scaled(milliseconds(1), at);
             if (within(random) * most > factor_at(plan, kind, time)) {
                 continue;
             }
             const int size = 1 + (plan.clump > 1 ? others(random) : 0);
             for (int i = 0; i < size; ++i) {
                 auto call = make_call(plan, index, shared, random);
-                const double later = i == 0 ? 0 : within(random) * clump_ms * ms_per_second;
-                call.at = time + duration(static_cast<duration::rep>(later));
+                const double later_ms = i == 0 ? 0 : within(random) * clump_ms;
+                call.at = time + scaled(milliseconds(1), later_ms);
                 calls.push_back(std::move(call));
             }
         }
--- a/tests/request/test_entry_parts.cpp
+++ b/tests/request/test_entry_parts.cpp
@@ -181,7 +181,8 @@
 BOOST_FIXTURE_TEST_CASE(lets_a_known_caller_in, a_configured_entry)
 {
     BOOST_TEST((refusal() == std::nullopt));
-    const auto admitted = admission.admit(request);
+    const auto admitted =
+        admission.admit(request, *admission.workspace_of(request.key_sha256), *admission.class_of(request));
     BOOST_TEST(admitted->workspace == "desk");
     BOOST_TEST(admitted->rules.name == "chat");
     BOOST_TEST((admitted->deadline_at == start + admitted->rules.deadline));
--- a/tests/router/test_entry_log.cpp
+++ b/tests/router/test_entry_log.cpp
@@ -112,15 +112,15 @@
     write();
     at.pass(milliseconds(200));
     write();
-    given(send_failed{look, send_fault::lost, false, true});
+    given(send_failed{look, send_fault::lost, false});
     given(request_completed{look, false});
     const auto booking = at.arrive("/book/x");
     write();
-    given(send_failed{booking, send_fault::lost, false, true});
+    given(send_failed{booking, send_fault::lost, false});
     const auto draft = at.arrive_generation("/draft/x", 42, 1000);
     write();
     given(first_event_seen{draft});
-    given(send_failed{draft, send_fault::lost, true, false});
+    given(send_failed{draft, send_fault::lost, true});
     at.arrive_generation("/draft/x", 42, 10000000);
     write();
     at.arrive("/nowhere/x");
--- a/tests/routing/random_router_run.cpp
+++ b/tests/routing/random_router_run.cpp
@@ -88,14 +88,7 @@
         at_.arrive_generation("/guide/x", pick(5), 100 + pick(500));
         break;
     }
-    const auto actions = at_.actions;
-    for (const auto& each : actions) {
-        if (const auto* send = std::get_if<send_request>(&each)) {
-            check(*send);
-        } else if (const auto* answer = std::get_if<answer_caller>(&each)) {
-            check(*answer);
-        }
-    }
+    look_at_actions();
 }
 
 request_number random_router_run::any_open()
@@ -139,7 +132,7 @@
     view.may_have_run = view.may_have_run || !certain;
     view.reached -= fault == send_fault::unreachable ? 1 : 0;
     view.being_sent = false;
-    give(send_failed{number, fault, view.answer_begun, pick(2) == 0});
+    give(send_failed{number, fault, view.answer_begun});
 }
 
 void random_router_run::caller_leaves()
@@ -186,6 +179,11 @@
 void random_router_run::give(const router_event& event)
 {
     at_.give(event);
+    look_at_actions();
+}
+
+void random_router_run::look_at_actions()
+{
     const auto actions = at_.actions;
     for (const auto& each : actions) {
         if (const auto* send = std::get_if<send_request>(&each)) {
--- a/tests/routing/random_router_run.h
+++ b/tests/routing/random_router_run.h
@@ -41,6 +41,8 @@
     void change_upstreams();
     void change_configuration();
     void give(const router_event& event);
+    /// Checks what the router has ordered last, and notes what that means outside.
+    void look_at_actions();
     void check(const send_request& send);
     void check(const answer_caller& answer);
     void end(request_number number, const std::string& how);
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -64,18 +64,18 @@
 {
     const auto request = arrive("/look/x");
     const auto first = sent_to();
-    give(send_failed{request, send_fault::lost, false, true});
+    give(send_failed{request, send_fault::lost, false});
     BOOST_TEST(sent_to() != first);
     BOOST_TEST(sent_to() != "");
     // Two upstreams at most; then the fate is unknown.
-    give(send_failed{request, send_fault::lost, false, true});
+    give(send_failed{request, send_fault::lost, false});
     BOOST_TEST(one<answer_caller>()->status == 502);
 }
 
 BOOST_AUTO_TEST_CASE(never_sends_a_booking_again_once_it_may_have_run)
 {
     const auto request = arrive("/book/x");
-    give(send_failed{request, send_fault::lost, false, true});
+    give(send_failed{request, send_fault::lost, false});
     BOOST_TEST(!one<send_request>().has_value());
     BOOST_TEST(one<answer_caller>()->status == 502);
 }
@@ -83,10 +83,10 @@
 BOOST_AUTO_TEST_CASE(says_not_run_of_a_booking_only_when_that_is_certain)
 {
     const auto refused = arrive("/book/x");
-    give(send_failed{refused, send_fault::not_run, false, true});
+    give(send_failed{refused, send_fault::not_run, false});
     BOOST_TEST(one<answer_caller>()->status == 503);
     const auto broken = arrive("/book/x");
-    give(send_failed{broken, send_fault::bad_answer, false, true});
+    give(send_failed{broken, send_fault::bad_answer, false});
     BOOST_TEST(one<answer_caller>()->status == 502);
     const auto expired = arrive("/book/x");
     pass(milliseconds(800));
@@ -99,7 +99,7 @@
 {
     const auto request = arrive("/book/x");
     const auto first = sent_to();
-    give(send_failed{request, send_fault::unreachable, false, false});
+    give(send_failed{request, send_fault::unreachable, false});
     BOOST_TEST(sent_to() != first);
     BOOST_TEST(sent_to() != "");
 }
@@ -107,9 +107,9 @@
 BOOST_AUTO_TEST_CASE(passes_on_a_failure_of_the_upstream_when_it_has_no_other_send)
 {
     const auto request = arrive("/look/x");
-    give(send_failed{request, send_fault::failed_answer, false, true});
+    give(send_failed{request, send_fault::failed_answer, false});
     BOOST_TEST(one<send_request>().has_value());
-    give(send_failed{request, send_fault::failed_answer, false, true});
+    give(send_failed{request, send_fault::failed_answer, false});
     BOOST_TEST(one<pass_failure>().has_value());
 }
 
@@ -118,11 +118,11 @@
     const auto ask = arrive_generation("/ask/x", 1, 500);
     const auto first = sent_to();
     give(first_event_seen{ask});
-    give(send_failed{ask, send_fault::lost, true, false});
+    give(send_failed{ask, send_fault::lost, true});
     BOOST_TEST(sent_to() != first);
     const auto guide = arrive_generation("/guide/x", 1, 500);
     give(first_event_seen{guide});
-    give(send_failed{guide, send_fault::lost, true, false});
+    give(send_failed{guide, send_fault::lost, true});
     BOOST_TEST(one<cut_caller>().has_value());
     BOOST_TEST(!one<send_request>().has_value());
 }
@@ -192,15 +192,15 @@
         }
         ++sends;
         const auto crashed = sent_to();
-        give(send_failed{event.request, send_fault::lost, false, false});
+        give(send_failed{event.request, send_fault::lost, false});
         // The refused connection of another request shows that the process is gone; it comes back later.
         const auto other = arrive("/book/other");
         while (!sent_to().empty() && sent_to() != crashed) {
-            give(send_failed{other, send_fault::not_run, false, true});
+            give(send_failed{other, send_fault::not_run, false});
             arrive("/book/other");
         }
         if (sent_to() == crashed) {
-            give(send_failed{last, send_fault::unreachable, false, false});
+            give(send_failed{last, send_fault::unreachable, false});
         }
         pass(seconds(2));
         auto again = upstream(crashed, "app");
@@ -229,10 +229,10 @@
     int extra = 0;
     for (int i = 0; i < 300; ++i) {
         const auto request = arrive("/look/x");
-        give(send_failed{request, send_fault::lost, false, true});
+        give(send_failed{request, send_fault::lost, false});
         extra += one<send_request>().has_value() ? 1 : 0;
         if (one<send_request>()) {
-            give(send_failed{request, send_fault::lost, false, true});
+            give(send_failed{request, send_fault::lost, false});
         }
         pass(milliseconds(10));
     }
