Speed of engines is learned, and parts are copied only once they were read

Cause: choices reckoned with 30 prompt tokens a ms, 7 ms a token and a copying setup of 5.3 ms, the figures of one deployment. An engine counted as a source of copies 300 ms after a prompt was sent to it, though on a cold or crowded fleet it reads for seconds: the copy brought nothing, and the other engine read the part again. What a cold owner has to read was not counted as its work either.

Change: engine_speed_estimate, a line through first-event times over tokens and a running median of token times, shared in every eighth report, with assumed figures from the settings until streams show the real ones. A part is believed read when its stream's first event came, for others at the time that its sender expects. A request that the engine did not take leaves nothing there. A copy weighs as much as reading once (reading again: four times), twice the time between zones.

One test's other daemon now says how fast its engines read, since four seconds of reading no longer follow from a constant; the bound is the same.

--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -40,6 +40,14 @@
     result.store_address = read_endpoint(reader, "store_address");
     result.placement = placement_rule_named(
         reader.choice("placement", placement_rule_names, std::string(placement_rule_names.front())));
+    const engine_speed usual;
+    constexpr double fastest_tokens_per_ms = 1000;
+    constexpr double longest_token_ms = 10000;
+    result.assumed_speed.prompt_tokens_per_ms =
+        reader.number("engine_prompt_tokens_per_ms", 1, fastest_tokens_per_ms, usual.prompt_tokens_per_ms);
+    result.assumed_speed.token =
+        scaled(milliseconds(1), reader.number("engine_token_ms", 0.1, longest_token_ms,
+                                              static_cast<double>(to_milliseconds(usual.token))));
     constexpr double most_seconds = 3600;
     result.retry_ratio = reader.number("retry_ratio", 0, 1, 0.2);
     result.retry_window = scaled(seconds(1), reader.number("retry_window_s", 1, most_seconds, 10));
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/outcome.h"
 #include "core/time.h"
+#include "routing/engine_speed.h"
 #include "routing/placement_rule.h"
 #include "routing/upstream_record.h"
 
@@ -26,6 +27,7 @@
     duration retry_window{seconds(10)};
     double retry_slack{0};
     placement_rule placement{prompt_affinity{}};
+    engine_speed assumed_speed;      ///< Of engines that nothing is known of yet.
     duration stop_grace{seconds(8)}; ///< From SIGTERM until the process is killed.
 };
 
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 6;
+constexpr int layout = 7;
 
 } // namespace
 
@@ -25,12 +25,17 @@
     }
     json placements = json::array();
     for (const auto& each : report.placements) {
-        placements.push_back({each.upstream, each.part, each.tokens});
+        placements.push_back({each.upstream, each.part, each.tokens, to_milliseconds(each.ready_in)});
     }
     json spread = json::array();
     for (const auto& each : items) {
         spread.push_back({each.kind, each.key, each.value, each.lifetime.count()});
     }
+    json speeds = json::array();
+    for (const auto& each : report.speeds) {
+        speeds.push_back({each.service, static_cast<float>(each.speed.prompt_tokens_per_ms),
+                          each.speed.token.count(), each.speed.samples});
+    }
     const json document = {layout,
                            report.daemon,
                            report.incarnation,
@@ -40,7 +45,8 @@
                            demands,
                            spread,
                            placements,
-                           report.next_in.count()};
+                           report.next_in.count(),
+                           speeds};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -72,7 +78,15 @@
         }
         for (const auto& each : document.at(8)) {
             report.placements.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint64_t>(),
-                                         each.at(2).get<std::uint32_t>()});
+                                         each.at(2).get<std::uint32_t>(),
+                                         milliseconds(each.at(3).get<std::int64_t>())});
+        }
+        for (const auto& each : document.at(10)) {
+            engine_speed speed;
+            speed.prompt_tokens_per_ms = each.at(1).get<double>();
+            speed.token = duration(each.at(2).get<duration::rep>());
+            speed.samples = each.at(3).get<std::uint32_t>();
+            report.speeds.push_back({each.at(0).get<std::string>(), speed});
         }
         for (const auto& each : document.at(7)) {
             soft_item item;
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -7,8 +7,6 @@
 namespace clementinegap {
 namespace {
 
-/// Time of a token in a moderately filled engine, from the operators' sheet of their engines.
-constexpr duration token_time = microseconds(7000);
 /// Step tolerance of generations that promise no gap.
 constexpr duration any_gap = seconds(10);
 /// Running requests take the larger part of an engine's memory under load; cached parts have the rest.
@@ -59,8 +57,10 @@
     const auto* target = request.table->find_service(request.service);
     const std::int64_t slots = target != nullptr && target->engine ? target->engine->slots : 1;
     // A stream has its engine's steps in common with the other slots.
-    const auto engine_time = prefill_time(request.prompt.own_tokens()) +
-                             token_time * request.prompt.expected_output() / std::max<std::int64_t>(1, slots);
+    const auto known = speed(request.service);
+    const auto engine_time =
+        known.reading(request.prompt.own_tokens()) +
+        known.token * request.prompt.expected_output() / std::max<std::int64_t>(1, slots);
     demand_.on_request(request.step_tolerance, request.way->priority, engine_time, now);
 }
 
@@ -123,11 +123,43 @@
     if (std::holds_alternative<least_in_flight>(rule_)) {
         return duration::zero(); // The baseline refuses only when all engines are full.
     }
-    return pace_.needed(request.service, request.step_tolerance,
-                        choice.expected_wait + prefill_time(choice.prefill_tokens),
+    return pace_.needed(request.service, request.step_tolerance, expected_start(request, choice),
                         request.prompt.expected_output());
 }
 
+duration generation_placement::expected_start(const routed_request& request,
+                                              const upstream_choice& choice) const
+{
+    return choice.expected_wait + speed(request.service).reading(choice.prefill_tokens);
+}
+
+engine_speed generation_placement::speed(std::string_view service) const
+{
+    const auto found = speeds_.find(service);
+    return found == speeds_.end() ? assumed_speed_ : found->second.value();
+}
+
+std::vector<service_speed> generation_placement::speeds() const
+{
+    std::vector<service_speed> result;
+    for (const auto& [service, estimate] : speeds_) {
+        result.push_back({service, estimate.value()});
+    }
+    return result;
+}
+
+void generation_placement::heard(std::span<const service_speed> speeds)
+{
+    for (const auto& each : speeds) {
+        estimate(each.service).heard(each.speed);
+    }
+}
+
+engine_speed_estimate& generation_placement::estimate(const std::string& service)
+{
+    return speeds_.try_emplace(service, assumed_speed_).first->second;
+}
+
 std::uint8_t generation_placement::urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens)
 {
     constexpr std::ptrdiff_t least_urgent = 9;
@@ -141,8 +173,9 @@
 
 void generation_placement::sent(const routed_request& request, time_point now)
 {
+    const auto ready_in = pace_.needed(request.service, request.step_tolerance, request.expected_start, 0);
     for (const auto& part : request.prompt.shared_parts()) {
-        part_placement placement{request.upstream->id, part.id, part.tokens};
+        part_placement placement{request.upstream->id, part.id, part.tokens, ready_in};
         caches_.placed(placement, now);
         if (unreported_.size() < most_reported_placements) {
             unreported_.push_back(std::move(placement));
@@ -150,8 +183,24 @@
     }
 }
 
+void generation_placement::first_event(const routed_request& request, time_point now)
+{
+    caches_.was_read(request.upstream->id, request.prompt.shared_parts(), now);
+}
+
+void generation_placement::not_run(const routed_request& request, time_point now)
+{
+    caches_.forget_unread(request.upstream->id, request.prompt.shared_parts(), now);
+}
+
 void generation_placement::ended_well(const routed_request& request, time_point now)
 {
+    if (request.copy_from == nullptr && request.tokens_ahead <= request.tokens_to_read) {
+        estimate(request.service)
+            .stream_ended({request.tokens_to_read + request.tokens_ahead, request.first_event_after,
+                           now - request.sent_at - request.first_event_after,
+                           request.prompt.expected_output()});
+    }
     pace_.stream_ended(request.service, request.step_tolerance, request.expected_start,
                        request.first_event_after, now - request.sent_at - request.first_event_after,
                        request.prompt.expected_output());
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -3,6 +3,7 @@
 #include "routing/demand_meter.h"
 #include "routing/engine_pace.h"
 #include "routing/engine_partition.h"
+#include "routing/engine_speed.h"
 #include "routing/placement_rule.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/routed_request.h"
@@ -23,7 +24,11 @@
 /// prompts beside streams with short gaps, of hot sessions, and of more work than can end in time.
 class generation_placement {
 public:
-    explicit generation_placement(placement_rule rule = prompt_affinity{}) : rule_(rule) {}
+    /// \param assumed speed of engines that nothing is known of.
+    explicit generation_placement(placement_rule rule = prompt_affinity{}, engine_speed assumed = {})
+        : rule_(rule), assumed_speed_(assumed)
+    {
+    }
 
     /// The kinds of streams of a configuration have engines before any demand is known.
     void set_configuration(const route_table& table);
@@ -41,12 +46,22 @@
     void count_demand(const routed_request& request, time_point now);
 
     upstream_choice choose(const routed_request& request, const choice_view& view) const;
+    /// Wait and reading at the chosen engine, if it is as fast as is known.
+    duration expected_start(const routed_request& request, const upstream_choice& choice) const;
     /// Time that the request needs to its end at the chosen engine.
     duration time_needed(const routed_request& request, const upstream_choice& choice) const;
+    /// What is known of the engines of a service.
+    engine_speed speed(std::string_view service) const;
+    /// What is known of all services' engines from own streams, for the other daemons.
+    std::vector<service_speed> speeds() const;
+    void heard(std::span<const service_speed> speeds);
     /// Urgency for the engine, from 0 to 9: by class, then short prompts before long ones.
     static std::uint8_t urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens);
 
     void sent(const routed_request& request, time_point now);
+    void first_event(const routed_request& request, time_point now);
+    /// The engine did not take the request: it has read nothing of its prompt.
+    void not_run(const routed_request& request, time_point now);
     void ended_well(const routed_request& request, time_point now);
     void placed_by_other(std::span<const part_placement> placements, time_point now);
     void engine_gone(std::string_view upstream) { caches_.forget(upstream); }
@@ -65,10 +80,13 @@
     upstream_choice choose_by(const least_in_flight& rule, const routed_request& request,
                               const choice_view& view) const;
 
+    engine_speed_estimate& estimate(const std::string& service);
     /// An engine that the shared parts of the prompt can be copied from.
     part_source source_of(const routed_request& request, const choice_view& view) const;
 
     placement_rule rule_;
+    engine_speed assumed_speed_;
+    std::map<std::string, engine_speed_estimate, std::less<>> speeds_; ///< By service.
     demand_meter demand_;
     engine_pace pace_;
     prompt_cache_view caches_;
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "routing/engine_speed.h"
 #include "routing/prompt_cache_view.h"
 
 #include <cstdint>
@@ -29,6 +30,13 @@
     std::uint8_t urgency{0}; ///< Of the most urgent of them; 0 goes first.
 };
 
+/// What a daemon has learned of the engines of a service.
+struct service_speed {
+    std::string service;
+    engine_speed speed;
+    bool operator==(const service_speed&) const = default;
+};
+
 /// What one daemon tells the others of its own work.
 struct load_report {
     std::string daemon;
@@ -39,6 +47,7 @@
     std::vector<stream_demand> demands;
     std::vector<part_placement> placements; ///< Since the report before.
     duration next_in{0}; ///< Until the daemon's next report; larger fleets report more rarely.
+    std::vector<service_speed> speeds{}; ///< In some of the reports.
 };
 
 /// The load of every upstream as the sum of this daemon's own work and the latest reports of the others. A
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -22,6 +22,9 @@
     duration further_engine_cost{milliseconds(400)};
     /// Reading a part again delays others besides this request, so it weighs more than its own time.
     double reread_weight{4.0};
+    /// What copying a part from another engine weighs against reading it there: a copy takes memory from
+    /// other parts, and the links of both engines, so it must save more than a moment.
+    double copy_weight{1.0};
     /// What a running stream adds to the time of each token, over an answer of usual length.
     duration cost_per_stream{microseconds(1500)};
     /// What it costs to read a prompt between the tokens of a stream that tolerates the shortest gaps, for
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -13,7 +13,7 @@
         cache.recent.splice(cache.recent.begin(), cache.recent, known->second);
         return;
     }
-    cache.recent.push_front({placement.part, placement.tokens, now, now});
+    cache.recent.push_front({placement.part, placement.tokens, now, now + placement.ready_in});
     holders_[placement.part].push_back(placement.upstream);
     cache.places[placement.part] = cache.recent.begin();
     cache.tokens += placement.tokens;
@@ -26,6 +26,41 @@
     }
 }
 
+void prompt_cache_view::was_read(std::string_view upstream, std::span<const prompt_part> parts,
+                                 time_point now)
+{
+    const auto found = engines_.find(std::string(upstream));
+    if (found == engines_.end()) {
+        return;
+    }
+    for (const auto& part : parts) {
+        const auto place = found->second.places.find(part.id);
+        if (place != found->second.places.end()) {
+            place->second->read_at = std::min(place->second->read_at, now);
+        }
+    }
+}
+
+void prompt_cache_view::forget_unread(std::string_view upstream, std::span<const prompt_part> parts,
+                                      time_point now)
+{
+    const auto found = engines_.find(std::string(upstream));
+    if (found == engines_.end()) {
+        return;
+    }
+    auto& cache = found->second;
+    for (const auto& part : parts) {
+        const auto place = cache.places.find(part.id);
+        if (place == cache.places.end() || place->second->read_at <= now) {
+            continue;
+        }
+        cache.tokens -= place->second->tokens;
+        cache.recent.erase(place->second);
+        cache.places.erase(place);
+        forget_holder(part.id, found->first);
+    }
+}
+
 void prompt_cache_view::forget(std::string_view upstream)
 {
     const auto found = engines_.find(std::string(upstream));
@@ -64,7 +99,7 @@
     const auto found = engines_.find(std::string(upstream));
     return found != engines_.end() && std::ranges::all_of(parts, [&](const prompt_part& part) {
                const auto* held = believed(found->second, part.id, now);
-               return held != nullptr && now - held->since >= read_after;
+               return held != nullptr && now >= held->read_at;
            });
 }
 
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -18,6 +18,7 @@
     std::string upstream;
     std::uint64_t part{0};
     std::uint32_t tokens{0};
+    duration ready_in{0}; ///< Until the engine has probably read it.
     bool operator==(const part_placement&) const = default;
 };
 
@@ -30,6 +31,10 @@
     void set_capacity(std::uint64_t part_tokens) { capacity_ = part_tokens; }
 
     void placed(const part_placement& placement, time_point now);
+    /// The engine has read these parts.
+    void was_read(std::string_view upstream, std::span<const prompt_part> parts, time_point now);
+    /// Forgets those of the parts that the engine has not read yet.
+    void forget_unread(std::string_view upstream, std::span<const prompt_part> parts, time_point now);
     /// The process of this engine is gone, and its cache with it.
     void forget(std::string_view upstream);
     /// Tokens of the shared parts of `prompt` that this engine would have to read: all from the first that it
@@ -46,9 +51,6 @@
     static constexpr duration believed_for = seconds(40);
     static constexpr std::uint64_t default_capacity = 100000;
 
-    /// A part that was sent to an engine is read by then, on all but the busiest engines.
-    static constexpr duration read_after = milliseconds(300);
-
     /// Whether the engine holds these parts and has had the time to read them.
     bool has_read(std::string_view upstream, std::span<const prompt_part> parts, time_point now) const;
 
@@ -56,7 +58,7 @@
         std::uint64_t part{0};
         std::uint32_t tokens{0};
         time_point used;
-        time_point since;
+        time_point read_at; ///< When the engine has probably read it.
     };
     struct engine_cache {
         std::list<held_part> recent; ///< The last used first.
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -23,6 +23,8 @@
 constexpr duration least_time = milliseconds(20);
 /// Streams that begin while draining must be able to end: most last no longer than this.
 constexpr duration drain_stream_time = milliseconds(4500);
+/// The speed of engines changes slowly, so only each such report tells it.
+constexpr std::uint64_t reports_per_speed = 8;
 constexpr duration first_service_time = milliseconds(50);
 constexpr int service_time_smoothing = 16;
 
@@ -31,7 +33,7 @@
 request_router::request_router(router_settings settings)
     : settings_(std::move(settings)),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings_.daemon, settings_.incarnation))),
-      placement_(settings_.placement)
+      placement_(settings_.placement, settings_.assumed_speed)
 {
 }
 
@@ -83,7 +85,7 @@
 upstream_choice request_router::choose(const routed_request& request) const
 {
     const choice_view view{ledger_,       health_, placement_.caches(), settings_.zone,
-                           request.tried, now_,    request.short_gap};
+                           request.tried, now_,    request.short_gap,   placement_.speed(request.service)};
     if (request.is_generation()) {
         return placement_.choose(request, view);
     }
@@ -118,7 +120,10 @@
     request.prefill_tokens = request.is_generation() ? choice.prefill_tokens : 0;
     request.first_event = false;
     request.sent_at = now_;
-    request.expected_start = choice.expected_wait + prefill_time(choice.prefill_tokens);
+    request.expected_start = placement_.expected_start(request, choice);
+    request.tokens_to_read = choice.prefill_tokens;
+    request.tokens_ahead = choice.tokens_ahead;
+    request.copy_from = choice.copy_from;
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     ledger_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
@@ -195,6 +200,9 @@
     const auto upstream = request.upstream;
     log("request.send_failed", request,
         std::string(to_string(event.fault)) + (event.answer_begun ? " begun" : ""));
+    if (request.is_generation() && event.fault == send_fault::not_run) {
+        placement_.not_run(request, now_);
+    }
     release(request);
     health_.send_failed(upstream->id, event.fault, now_);
     if (event.fault == send_fault::unreachable) {
@@ -271,6 +279,9 @@
     request.first_event = true;
     request.answer_begun = true;
     request.first_event_after = now_ - request.sent_at;
+    if (request.is_generation()) {
+        placement_.first_event(request, now_);
+    }
     ledger_.prefill_done(request.upstream->id, request.prefill_tokens);
     request.prefill_tokens = 0;
 }
@@ -435,6 +446,7 @@
 void request_router::on(const load_reported& event)
 {
     placement_.placed_by_other(event.report.placements, now_);
+    placement_.heard(event.report.speeds);
     ledger_.on_report(event.report, now_);
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
@@ -486,6 +498,9 @@
     result.loads = ledger_.own_loads();
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
+    if (report_sequence_ % reports_per_speed == 1) {
+        result.speeds = placement_.speeds();
+    }
     return result;
 }
 
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -27,6 +27,7 @@
     std::uint64_t incarnation{0}; ///< Start time, so that a restarted daemon's reports are newer.
     retry_budget_settings retries;
     placement_rule placement{prompt_affinity{}};
+    engine_speed assumed_speed{}; ///< Of engines that nothing is known of.
 };
 
 /// The decisions of an entry daemon that sends callers' requests straight to upstreams: which route, which
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -10,8 +10,6 @@
 namespace clementinegap {
 namespace {
 
-/// Prompt tokens that an engine reads in a millisecond, from the operators' sheet of their engines.
-constexpr double prefill_tokens_per_ms = 30.0;
 /// Prompt tokens whose reading makes a pause that streams with short gaps notice; two chunks of an engine.
 constexpr double noticed_tokens = 4000;
 /// What a request that failed costs its caller, against waiting.
@@ -43,8 +41,8 @@
     }
 }
 
-/// Time before the first part of a copy comes, by the operators' sheet of their engines.
-constexpr duration copy_setup = microseconds(5300);
+/// A copy between availability zones takes this many times as long as one within.
+constexpr double zone_copy_factor = 2;
 
 /// What it takes to bring the shared parts that an engine lacks into its cache.
 struct part_supply {
@@ -54,15 +52,19 @@
 };
 
 part_supply supply_of(std::uint32_t missing, const upstream_record& engine, const part_source& source,
-                      double reread_weight)
+                      const choice_view& view, const prompt_affinity& weights)
 {
-    const part_supply by_reading{scaled(prefill_time(missing), reread_weight), missing, false};
+    const auto& speed = view.speed;
+    const part_supply by_reading{scaled(speed.reading(missing), weights.reread_weight), missing, false};
     if (!source.engine || source.engine->id == engine.id || missing <= source.lacking) {
         return by_reading;
     }
-    const auto rest = scaled(prefill_time(source.lacking), reread_weight);
-    const auto copy = copy_setup + scaled(milliseconds(1), (missing - source.lacking) / source.tokens_per_ms);
-    return copy + rest < by_reading.cost ? part_supply{copy + rest, source.lacking, true} : by_reading;
+    const auto copied = missing - source.lacking;
+    const double distance = source.engine->zone == engine.zone ? 1 : zone_copy_factor;
+    const auto cost = scaled(milliseconds(1), copied * distance / source.tokens_per_ms) +
+                      scaled(speed.reading(copied), weights.copy_weight) +
+                      scaled(speed.reading(source.lacking), weights.reread_weight);
+    return cost < by_reading.cost ? part_supply{cost, source.lacking, true} : by_reading;
 }
 
 duration disturbance(const upstream_load& load, std::uint32_t tokens, const choice_view& view,
@@ -108,18 +110,19 @@
     const auto* session = prompt.session();
     const auto load = view.load.at(engine->id);
     const auto lacking = view.caches.missing_tokens(engine->id, prompt, view.now);
-    const auto supply = supply_of(lacking, *engine, source, weights.reread_weight);
-    // The owner is where a session is brought to, so that it lacks the session once costs nothing.
+    const auto supply = supply_of(lacking, *engine, source, view, weights);
+    // The owner is where a session is brought to, so what it lacks costs nothing if no engine has it.
     const bool is_owner = session == nullptr || rank == 0;
     const auto reread = is_owner ? 0U : std::min(session->tokens, supply.read);
-    const auto to_read = prompt.own_tokens() + reread;
-    const auto wait = prefill_time(load.prefill_tokens);
+    const auto to_read = prompt.own_tokens() + supply.read;
+    const auto wait = view.speed.reading(load.prefill_tokens);
     const auto beyond_slots = load.in_flight - std::min(load.in_flight, engine->slots - 1);
     const bool is_near = session == nullptr || rank < weights.session_engines || supply.copies;
 
     engine_offer offer;
-    offer.choice = {engine, wait, to_read, reread, supply.copies ? source.engine : nullptr};
-    offer.cost = wait + (is_owner ? duration::zero() : supply.cost) +
+    offer.choice = {
+        engine, wait, to_read, reread, supply.copies ? source.engine : nullptr, load.prefill_tokens};
+    offer.cost = wait + (is_owner && !supply.copies ? duration::zero() : supply.cost) +
                  weights.cost_per_stream * load.in_flight + weights.full_engine_cost * beyond_slots +
                  (is_near ? duration::zero() : weights.further_engine_cost) +
                  disturbance(load, to_read, view, weights) +
@@ -129,11 +132,6 @@
 
 } // namespace
 
-duration prefill_time(std::uint64_t tokens)
-{
-    return scaled(milliseconds(1), static_cast<double>(tokens) / prefill_tokens_per_ms);
-}
-
 upstream_choice choose_engine(std::span<const upstream_ptr> engines, const prompt_facts& prompt,
                               const choice_view& view, const prompt_affinity& weights,
                               const part_source& source)
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/engine_partition.h"
+#include "routing/engine_speed.h"
 #include "routing/load_ledger.h"
 #include "routing/placement_rule.h"
 #include "routing/prompt.h"
@@ -22,6 +23,7 @@
     std::span<const std::string> excluded; ///< Ids that the request was sent to already.
     time_point now;
     bool short_gap{false}; ///< The request itself is of the kind that tolerates the shortest gaps.
+    engine_speed speed{};  ///< Of the engines that are chosen from.
 };
 
 /// An upstream for a request, with what is expected there.
@@ -31,6 +33,7 @@
     std::uint32_t prefill_tokens{0}; ///< Tokens that the engine has to read for this request.
     std::uint32_t reread_tokens{0};  ///< Those of them that belong to shared parts.
     upstream_ptr copy_from;          ///< Engine to copy shared parts from; nullptr: none.
+    std::uint32_t tokens_ahead{0};   ///< Prompt tokens of other requests that it has to read before.
 };
 
 /// Where the shared parts of a prompt can be copied from, instead of being read again.
@@ -40,9 +43,6 @@
     double tokens_per_ms{0};
 };
 
-/// Time that an engine takes to read `tokens` of a prompt.
-duration prefill_time(std::uint64_t tokens);
-
 /// The engine that begins this generation soonest, counting the prompt parts that it would have to read
 /// again. Sessions have an owner by rendezvous hashing, which all daemons compute alike; the next in that
 /// order takes over while the owner is loaded, failing or gone. An engine that lacks parts copies them from
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -38,8 +38,15 @@
 
 BOOST_AUTO_TEST_CASE(come_back_as_they_were_and_survive_damage)
 {
-    load_report report{
-        "d", 3, 4, 5, {{"u", {1, 2, 3}}}, {{milliseconds(80), 0.5, 0, 0}}, {{"u", 77, 300}}, seconds(2)};
+    load_report report{"d",
+                       3,
+                       4,
+                       5,
+                       {{"u", {1, 2, 3}}},
+                       {{milliseconds(80), 0.5, 0, 0}},
+                       {{"u", 77, 300, milliseconds(250)}},
+                       seconds(2)};
+    report.speeds = {{"s", {56.5, milliseconds(4), 200}}};
     soft_item item;
     item.kind = "poison";
     item.key = "k";
@@ -52,6 +59,7 @@
     BOOST_TEST(back.value().report.sequence == 4U);
     BOOST_TEST((back.value().report.loads == report.loads));
     BOOST_TEST((back.value().report.placements == report.placements));
+    BOOST_TEST((back.value().report.speeds == report.speeds));
     BOOST_TEST((back.value().report.next_in == seconds(2)));
     BOOST_TEST(back.value().items.front().key == "k");
     std::minstd_rand random(9);
@@ -74,6 +82,11 @@
         "peer_address": "10.0.0.1:82", "store_address": "10.0.0.2:83", "retry_slack": 56})";
     BOOST_REQUIRE(entry_settings_from_text(good).has_value());
     BOOST_TEST(entry_settings_from_text(good).value().store_address.port == 83);
+    const auto with_speed = entry_settings_from_text(
+        good.substr(0, good.size() - 1) + R"(, "engine_prompt_tokens_per_ms": 90, "engine_token_ms": 4})");
+    BOOST_REQUIRE(with_speed.has_value());
+    BOOST_TEST(with_speed.value().assumed_speed.prompt_tokens_per_ms == 90);
+    BOOST_TEST((with_speed.value().assumed_speed.token == milliseconds(4)));
     const auto bad = entry_settings_from_text(
         R"({"vm": 1, "caller_address": "nowhere", "retry_ratio": 7, "store_adress": "10.0.0.2:83"})");
     BOOST_REQUIRE(!bad.has_value());
--- a/tests/routing/test_placement.cpp
+++ b/tests/routing/test_placement.cpp
@@ -83,12 +83,37 @@
 {
     prompt_cache_view caches;
     const auto prompt = prompt_of(42);
-    caches.placed({"e1", 1, 2000}, start);
-    caches.placed({"e1", 42, 3000}, start);
+    caches.placed({"e1", 1, 2000, milliseconds(300)}, start);
+    caches.placed({"e1", 42, 3000, milliseconds(300)}, start);
     BOOST_TEST(caches.holders(prompt, start + milliseconds(50)).empty());
     BOOST_TEST(caches.holders(prompt, start + milliseconds(500)).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(of_a_busy_engine_are_those_whose_stream_has_begun)
+{
+    prompt_cache_view caches;
+    const auto prompt = prompt_of(42);
+    caches.placed({"e1", 1, 2000, seconds(3)}, start);
+    caches.placed({"e1", 42, 3000, seconds(3)}, start);
+    BOOST_TEST(caches.holders(prompt, start + seconds(1)).empty());
+    BOOST_TEST_CONTEXT("the prompt is not read anywhere else meanwhile")
+    {
+        BOOST_TEST(caches.missing_tokens("e1", prompt, start + seconds(1)) == 0U);
+    }
+    caches.was_read("e1", prompt.shared_parts(), start + seconds(1));
+    BOOST_TEST(caches.holders(prompt, start + seconds(1)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(of_an_engine_that_took_no_request_are_only_what_it_had_read)
+{
+    prompt_cache_view caches;
+    const auto prompt = prompt_of(42);
+    caches.placed({"e1", 1, 2000}, start);
+    caches.placed({"e1", 42, 3000, seconds(1)}, start);
+    caches.forget_unread("e1", prompt.shared_parts(), start + milliseconds(10));
+    BOOST_TEST(caches.missing_tokens("e1", prompt, start + milliseconds(20)) == 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(are_forgotten_with_parts_that_yield_and_engines_that_rest)
 {
     prompt_cache_view caches;
@@ -129,6 +154,15 @@
         BOOST_TEST(choice.prefill_tokens == 500U);
         BOOST_TEST(choice.reread_tokens == 0U);
     }
+    BOOST_TEST_CONTEXT("from another zone it takes twice as long")
+    {
+        auto far = *owner;
+        far.zone = "z2";
+        const auto source = std::make_shared<const upstream_record>(far);
+        const double just_enough = 14; // 3 times reading it, the copy's own weight left out.
+        BOOST_TEST(choose({owner, 0, just_enough}).copy_from == owner);
+        BOOST_TEST(choose({source, 0, just_enough}).copy_from == nullptr);
+    }
     BOOST_TEST_CONTEXT("a slow link is no better than reading")
     {
         BOOST_TEST(choose({owner, 0, 1}).copy_from == nullptr);
@@ -189,6 +223,33 @@
 
 BOOST_FIXTURE_TEST_SUITE(in_a_router, router_fixture)
 
+BOOST_AUTO_TEST_CASE(parts_that_are_not_read_yet_are_copied_from_nowhere)
+{
+    give(configuration_received{table(2, fast_link)});
+    // A cold fleet: the owner reads for seconds, and the session is asked for again and again.
+    arrive_generation("/draft/x", 42, 60000);
+    const auto owner = sent_to();
+    for (int i = 0; i < 6; ++i) {
+        pass(milliseconds(300));
+        arrive_generation("/draft/x", 42, 60000);
+        for (const auto& send : all<send_request>()) {
+            BOOST_TEST(send.copy_from == nullptr);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(what_a_cold_owner_has_to_read_counts_as_its_work)
+{
+    arrive_generation("/draft/x", 42, 1000, 30000);
+    const auto owner = sent_to();
+    BOOST_TEST(router.loads().at(owner).prefill_tokens >= 31000U);
+    BOOST_TEST_CONTEXT("until its first event")
+    {
+        give(first_event_seen{last});
+        BOOST_TEST(router.loads().at(owner).prefill_tokens == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_loaded_owner_gives_its_parts_to_the_next_engine)
 {
     give(configuration_received{table(2, fast_link)});
--- a/tests/routing/test_request_router.cpp
+++ b/tests/routing/test_request_router.cpp
@@ -367,6 +367,7 @@
 {
     load_reported told;
     told.report = {"entry-2", 1, 1, 1, {}, {}, {}};
+    told.report.speeds = {{"llm", {30, milliseconds(7), 1000}}};
     for (int engine = 1; engine <= 12; ++engine) {
         // Four seconds of reading lie before every engine.
         told.report.loads.emplace_back("e" + std::to_string(engine), upstream_load{4, 0, 120000});
