--- a/routing/engine_speed.cpp
+++ b/routing/engine_speed.cpp
@@ -16,6 +16,8 @@
 constexpr double assumed_prompt = 10000;
 /// A first event that took longer than this many times what was expected met a fault or a full engine.
 constexpr double most_over_expected = 3;
+/// A stream that took longer than the line says was held up by others; it says less of the engine.
+constexpr double held_up_weight = 0.25;
 /// Engines outside of these read for no known model; they keep a mistaken estimate from running away.
 constexpr double slowest_tokens_per_ms = 1;
 constexpr double fastest_tokens_per_ms = 1000;
@@ -52,13 +54,14 @@
 void engine_speed_estimate::learn_reading(const stream_sample& sample)
 {
     const auto tokens = static_cast<double>(sample.tokens_read);
-    const double expected = us(value_.reading(sample.tokens_read)) + us(value_.token) * 2;
+    const double expected = start_us_ + us(value_.reading(sample.tokens_read));
     const double time = std::min(us(sample.first_event_after), expected * most_over_expected);
-    weight_ = weight_ * kept_per_stream + 1;
-    sum_tokens_ = sum_tokens_ * kept_per_stream + tokens;
-    sum_time_ = sum_time_ * kept_per_stream + time;
-    sum_tokens_squared_ = sum_tokens_squared_ * kept_per_stream + tokens * tokens;
-    sum_tokens_time_ = sum_tokens_time_ * kept_per_stream + tokens * time;
+    const double weight = time > expected ? held_up_weight : 1;
+    weight_ = weight_ * kept_per_stream + weight;
+    sum_tokens_ = sum_tokens_ * kept_per_stream + weight * tokens;
+    sum_time_ = sum_time_ * kept_per_stream + weight * time;
+    sum_tokens_squared_ = sum_tokens_squared_ * kept_per_stream + weight * tokens * tokens;
+    sum_tokens_time_ = sum_tokens_time_ * kept_per_stream + weight * tokens * time;
 }
 
 void engine_speed_estimate::learn_token(const stream_sample& sample)
@@ -103,6 +106,7 @@
     value_.prompt_tokens_per_ms =
         us_per_token > 0 ? std::clamp(us_per_ms / us_per_token, slowest_tokens_per_ms, fastest_tokens_per_ms)
                          : assumed_.prompt_tokens_per_ms;
+    start_us_ = std::max(0.0, (time - us_per_token * tokens) / weight);
     value_.token = token_us_ > 0 ? scaled(microseconds(1), token_us_) : assumed_.token;
     value_.samples = samples_;
 }
--- a/routing/engine_speed.h
+++ b/routing/engine_speed.h
@@ -53,6 +53,7 @@
     double sum_time_{0};
     double sum_tokens_squared_{0};
     double sum_tokens_time_{0};
+    double start_us_{0}; ///< Time to the first event of a prompt without tokens.
     double token_us_{0}; ///< Running median; 0: none yet.
 };
 
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -173,7 +173,8 @@
 
 void generation_placement::sent(const routed_request& request, time_point now)
 {
-    const auto ready_in = pace_.needed(request.service, request.step_tolerance, request.expected_start, 0);
+    const auto expected = request.expected_start + speed(request.service).reading(request.first_read);
+    const auto ready_in = pace_.needed(request.service, request.step_tolerance, expected, 0);
     for (const auto& part : request.prompt.shared_parts()) {
         part_placement placement{request.upstream->id, part.id, part.tokens, ready_in};
         caches_.placed(placement, now);
@@ -195,7 +196,9 @@
 
 void generation_placement::ended_well(const routed_request& request, time_point now)
 {
-    if (request.copy_from == nullptr && request.tokens_ahead <= request.tokens_to_read) {
+    // Shared parts may be kept where nobody knows of it; the request's own tokens are always read.
+    if (request.tokens_to_read == request.prompt.own_tokens() && request.first_read == 0 &&
+        request.copy_from == nullptr && request.tokens_ahead <= request.tokens_to_read) {
         estimate(request.service)
             .stream_ended({request.tokens_to_read + request.tokens_ahead, request.first_event_after,
                            now - request.sent_at - request.first_event_after,
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -123,6 +123,7 @@
     request.expected_start = placement_.expected_start(request, choice);
     request.tokens_to_read = choice.prefill_tokens;
     request.tokens_ahead = choice.tokens_ahead;
+    request.first_read = choice.first_read;
     request.copy_from = choice.copy_from;
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -37,6 +37,7 @@
     duration first_event_after{0};   ///< From the send to the first event.
     duration expected_start{0};      ///< Until the first event, as expected when it was sent.
     std::uint32_t tokens_to_read{0}; ///< Of its prompt, as expected when it was sent.
+    std::uint32_t first_read{0};     ///< Tokens of shared parts that are read for later requests too.
     std::uint64_t tokens_ahead{0};   ///< Of other prompts that the engine had to read then.
     upstream_ptr copy_from;          ///< Engine that it copies shared parts from; nullptr: none.
     std::vector<std::string> tried;  ///< Upstreams that it was sent to or that could not be reached.
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -114,14 +114,19 @@
     // The owner is where a session is brought to, so what it lacks costs nothing if no engine has it.
     const bool is_owner = session == nullptr || rank == 0;
     const auto reread = is_owner ? 0U : std::min(session->tokens, supply.read);
-    const auto to_read = prompt.own_tokens() + supply.read;
+    const auto to_read = prompt.own_tokens() + reread;
     const auto wait = view.speed.reading(load.prefill_tokens);
     const auto beyond_slots = load.in_flight - std::min(load.in_flight, engine->slots - 1);
     const bool is_near = session == nullptr || rank < weights.session_engines || supply.copies;
 
     engine_offer offer;
-    offer.choice = {
-        engine, wait, to_read, reread, supply.copies ? source.engine : nullptr, load.prefill_tokens};
+    offer.choice = {engine,
+                    wait,
+                    to_read,
+                    reread,
+                    supply.copies ? source.engine : nullptr,
+                    load.prefill_tokens,
+                    supply.read - reread};
     offer.cost = wait + (is_owner && !supply.copies ? duration::zero() : supply.cost) +
                  weights.cost_per_stream * load.in_flight + weights.full_engine_cost * beyond_slots +
                  (is_near ? duration::zero() : weights.further_engine_cost) +
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -30,10 +30,11 @@
 struct upstream_choice {
     upstream_ptr upstream; ///< nullptr when none can be used.
     duration expected_wait{0};
-    std::uint32_t prefill_tokens{0}; ///< Tokens that the engine has to read for this request.
+    std::uint32_t prefill_tokens{0}; ///< Tokens that the engine reads for this request alone.
     std::uint32_t reread_tokens{0};  ///< Those of them that belong to shared parts.
     upstream_ptr copy_from;          ///< Engine to copy shared parts from; nullptr: none.
     std::uint32_t tokens_ahead{0};   ///< Prompt tokens of other requests that it has to read before.
+    std::uint32_t first_read{0};     ///< Tokens of shared parts that it reads for the first of many requests.
 };
 
 /// Where the shared parts of a prompt can be copied from, instead of being read again.
