Entries read the store's tables through relays of their zone

Change: in each zone the two live daemons with the widest links read the store; the others read from one of them, by the store's own calls, at its peer address. row_source decides, pure: a relay that fails is left for the store at once, a store that fails for 1.2 s for any relay, whatever lags 0.9 s behind what other daemons report of the directory for the other source. So an entry that the store turns away learns of leaving upstreams too. table_copy holds what is given to others. Used from bounds of 3 s on (drain, configuration); smaller deployments read the store as before. The table of daemons is read at most every two seconds.

The store lists rows as they were some seconds ago after it has dropped its history; a copy that kept its newer version with older rows hid every change in between. Now a copy goes back with such a listing (test goes_back_with_a_listing_of_an_older_state); and one broken connection no longer makes all relays read from each other in a ring.

Tests: row_fleet, 60 random schedules of cuts, freezes and restarts in which every sound daemon knows each change within 3 s; copies against the store in 200 schedules; the real tables over sockets with outages, lost history and ends of relays.

--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -9,13 +9,15 @@
 namespace clementinegap {
 namespace {
 
-constexpr std::string_view fleet_table = "daemons";
 /// Time between the end of the last request and the kill that ends a slow stop.
 constexpr duration stop_margin = milliseconds(500);
 /// The settings file may change without a signal.
 constexpr duration settings_check_interval = seconds(1);
 /// The platform takes a daemon out of rotation after two missed probes, one a second.
 constexpr duration rotation_time = milliseconds(2600);
+/// A relay that is cut off is noticed within two seconds, and its readers then read the store themselves; so
+/// relays are used where changes may take this long to be known.
+constexpr duration least_relay_bound = seconds(3);
 
 std::uint64_t start_stamp()
 {
@@ -37,6 +39,18 @@
     return result;
 }
 
+store_tables::settings tables_of(const entry_settings& settings, std::uint64_t incarnation)
+{
+    store_tables::settings result;
+    result.daemon = settings.vm;
+    result.zone = settings.zone;
+    result.link_mbps = settings.link_mbps;
+    result.store = settings.store_address;
+    result.use_relays = std::min(settings.directory_bound, settings.configuration_bound) >= least_relay_bound;
+    result.seed = incarnation;
+    return result;
+}
+
 } // namespace
 
 entry_process::entry_process(entry_settings settings, std::string settings_file)
@@ -47,23 +61,15 @@
           [this](const std::string& why) { log_.warn("peer.bad_report", why); }),
       gateway_(loop_, router_, log_, counters_, [this](soft_item item) { peers_.spread(std::move(item)); }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
-      peer_requests_(loop_,
-                     [this](std::string_view path) {
-                         if (path == configuration_fetch::path && !configuration_text_.empty()) {
-                             return probe_server::answer{200, "application/json", configuration_text_};
-                         }
-                         return probe_server::answer{};
-                     }),
       fetch_(loop_, [this](const std::string& text) { take_configuration(text, "peer"); }),
-      configuration_(loop_, settings_.store_address, std::string(platform_names::configuration_table),
-                     incarnation_,
-                     [this](table_follower::progress progress) { on_configuration(std::move(progress)); }),
-      directory_(loop_, settings_.store_address, std::string(platform_names::directory_table),
-                 incarnation_ + 1,
-                 [this](table_follower::progress progress) { on_directory(std::move(progress)); }),
-      fleet_(loop_, settings_.store_address, std::string(fleet_table), incarnation_ + 2,
-             [this](table_follower::progress progress) { on_fleet(std::move(progress)); }),
-      registration_(loop_, settings_.store_address, std::string(fleet_table), settings_.vm,
+      tables_(
+          loop_, tables_of(settings_, incarnation_),
+          [this](store_tables::table which, table_follower::progress progress) {
+              on_rows(which, std::move(progress));
+          },
+          [this](std::string_view event, std::string_view detail) { log_.info(event, detail); },
+          [this]() -> const std::string& { return configuration_text_; }),
+      registration_(loop_, settings_.store_address, std::string(store_tables::daemons_table), settings_.vm,
                     to_string(settings_.peer_address))
 {
 }
@@ -75,7 +81,7 @@
     loop_.on_signal(SIGINT, [this] { begin_stop(); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
     if (!gateway_.listen(settings_.caller_address) || !probes_.listen(settings_.readiness_address) ||
-        !peers_.bind(settings_.peer_address) || !peer_requests_.listen(settings_.peer_address)) {
+        !peers_.bind(settings_.peer_address) || !tables_.listen(settings_.peer_address)) {
         log_.warn("daemon.cannot_listen", to_string(settings_.caller_address));
         log_.flush(event_loop::now());
         return exit_cannot_listen;
@@ -95,20 +101,19 @@
     if (router_.next_due() <= now) {
         gateway_.post(tick{});
     }
-    configuration_.run(now);
-    directory_.run(now);
-    fleet_.run(now);
+    tables_.run(now);
     registration_.run(now);
     if (now >= next_report_) {
         auto report = router_.report(now);
         report.next_in = peers_.interval();
+        report.rows = tables_.offer(now);
         peers_.send(report);
         next_report_ = now + peers_.interval();
     }
     if (now >= next_sweep_) {
         gateway_.sweep(now);
         probes_.sweep(now);
-        peer_requests_.sweep(now);
+        tables_.sweep(now);
         log_.flush(now);
         next_sweep_ = now + entry_gateway::sweep_interval;
     }
@@ -119,11 +124,26 @@
 
 void entry_process::schedule()
 {
-    const auto due = std::min({router_.next_due(), configuration_.due(), directory_.due(), fleet_.due(),
-                               registration_.due(), next_report_, next_sweep_});
+    const auto due =
+        std::min({router_.next_due(), tables_.due(), registration_.due(), next_report_, next_sweep_});
     loop_.wake_at(due, [this] { wake(); });
 }
 
+void entry_process::on_rows(store_tables::table which, table_follower::progress progress)
+{
+    switch (which) {
+    case store_tables::table::configuration:
+        on_configuration(std::move(progress));
+        return;
+    case store_tables::table::directory:
+        on_directory(std::move(progress));
+        return;
+    case store_tables::table::daemons:
+        on_fleet(std::move(progress));
+        return;
+    }
+}
+
 void entry_process::on_configuration(table_follower::progress progress)
 {
     if (progress.lost || progress.regained) {
@@ -162,6 +182,7 @@
     if (address != fleet_rows_.end()) {
         fetch_.start(address->second);
     }
+    tables_.on_report(report.report, event_loop::now());
     gateway_.post(std::move(report));
 }
 
@@ -214,6 +235,7 @@
     auto others = fleet_rows_;
     others.erase(settings_.vm);
     gateway_.post(fleet_size_known{others.size() + 1});
+    tables_.set_peers(others);
     peers_.set_peers(std::move(others));
 }
 
@@ -284,9 +306,7 @@
     settings_.stop_grace = next.stop_grace;
     if (!(next.store_address == settings_.store_address)) {
         settings_.store_address = next.store_address;
-        configuration_.set_store(next.store_address);
-        directory_.set_store(next.store_address);
-        fleet_.set_store(next.store_address);
+        tables_.set_store(next.store_address);
     }
     // The addresses that this process listens at are its own for its life.
     log_.info("daemon.reloaded", "store " + to_string(settings_.store_address));
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -6,7 +6,7 @@
 #include "router/entry_settings.h"
 #include "router/peer_link.h"
 #include "router/probe_server.h"
-#include "router/store_link.h"
+#include "router/store_tables.h"
 #include "routing/configuration_catch_up.h"
 #include "routing/request_router.h"
 
@@ -28,6 +28,7 @@
     int run();
 
 private:
+    void on_rows(store_tables::table which, table_follower::progress progress);
     void on_configuration(table_follower::progress progress);
     void on_directory(table_follower::progress progress);
     void on_fleet(table_follower::progress progress);
@@ -51,13 +52,10 @@
     peer_link peers_;
     entry_gateway gateway_;
     probe_server probes_;
-    probe_server peer_requests_; ///< Other daemons' requests for the configuration in force.
     configuration_fetch fetch_;
     configuration_catch_up catch_up_;
     std::string configuration_text_; ///< Of the version in force.
-    table_reader configuration_;
-    table_reader directory_;
-    table_reader fleet_;
+    store_tables tables_;
     row_writer registration_;
     std::map<std::string, endpoint> fleet_rows_;
     std::string settings_text_;
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -48,6 +48,13 @@
     result.assumed_speed.token =
         scaled(milliseconds(1), reader.number("engine_token_ms", 0.1, longest_token_ms,
                                               static_cast<double>(to_milliseconds(usual.token))));
+    constexpr double widest_link_mbps = 65000;
+    result.link_mbps = static_cast<std::uint16_t>(reader.number("link_mbps", 0, widest_link_mbps, 0));
+    constexpr double longest_bound_ms = 3600000;
+    result.directory_bound =
+        scaled(milliseconds(1), reader.number("directory_bound_ms", 0, longest_bound_ms, 0));
+    result.configuration_bound =
+        scaled(milliseconds(1), reader.number("configuration_bound_ms", 0, longest_bound_ms, 0));
     constexpr double most_seconds = 3600;
     result.retry_ratio = reader.number("retry_ratio", 0, 1, 0.2);
     result.retry_window = scaled(seconds(1), reader.number("retry_window_s", 1, most_seconds, 10));
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 7;
+constexpr int layout = 8;
 
 } // namespace
 
@@ -36,17 +36,19 @@
         speeds.push_back({each.service, static_cast<float>(each.speed.prompt_tokens_per_ms),
                           each.speed.token.count(), each.speed.samples});
     }
-    const json document = {layout,
-                           report.daemon,
-                           report.incarnation,
-                           report.sequence,
-                           report.configuration_version,
-                           loads,
-                           demands,
-                           spread,
-                           placements,
-                           report.next_in.count(),
-                           speeds};
+    const json document = {
+        layout,
+        report.daemon,
+        report.incarnation,
+        report.sequence,
+        report.configuration_version,
+        loads,
+        demands,
+        spread,
+        placements,
+        report.next_in.count(),
+        speeds,
+        {report.rows.zone, report.rows.link_mbps, report.rows.serves, report.rows.directory_version}};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -81,6 +83,11 @@
                                          each.at(2).get<std::uint32_t>(),
                                          milliseconds(each.at(3).get<std::int64_t>())});
         }
+        const auto& rows = document.at(11);
+        report.rows.zone = rows.at(0).get<std::uint32_t>();
+        report.rows.link_mbps = rows.at(1).get<std::uint16_t>();
+        report.rows.serves = rows.at(2).get<bool>();
+        report.rows.directory_version = rows.at(3).get<std::uint64_t>();
         for (const auto& each : document.at(10)) {
             engine_speed speed;
             speed.prompt_tokens_per_ms = each.at(1).get<double>();
--- a/router/store_link.cpp
+++ b/router/store_link.cpp
@@ -13,10 +13,10 @@
 
 } // namespace
 
-table_reader::table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed,
-                           callback on_progress)
-    : loop_(loop), store_(std::move(store)), follower_(std::move(table), seed),
-      on_progress_(std::move(on_progress))
+table_reader::table_reader(event_loop& loop, endpoint store, table_follower follower, callback on_progress,
+                           outcome_callback on_outcome)
+    : loop_(loop), store_(std::move(store)), follower_(std::move(follower)),
+      on_progress_(std::move(on_progress)), on_outcome_(std::move(on_outcome))
 {
 }
 
@@ -41,7 +41,7 @@
         }
         drop_connection();
         under_way_ = false;
-        report(follower_.on_no_page(read_result::failed, now));
+        call_failed(read_result::failed, now);
     }
     if (now < follower_.next_at()) {
         return;
@@ -49,17 +49,21 @@
     if (!connection_ || !connection_->idle()) {
         drop_connection();
         connection_ = std::make_shared<http_client_connection>(loop_, [] {});
-        if (!connection_->connect(store_.ip, store_.port, store_silence)) {
+        const auto& source = relay_ ? *relay_ : store_;
+        if (!connection_->connect(source.ip, source.port, store_silence)) {
             connection_.reset();
-            report(follower_.on_no_page(read_result::failed, now));
+            call_failed(read_result::failed, now);
             return;
         }
     }
-    const auto call = follower_.next_call();
+    auto call = follower_.next_call();
+    if (!relay_ && store_in_doubt_) {
+        call.wait = duration::zero();
+    }
     under_way_ = true;
     give_up_at_ = now + call.wait + answer_timeout;
     body_.clear();
-    connection_->start(encode_table_read(call, to_string(store_)), *this);
+    connection_->start(encode_table_read(call, to_string(relay_ ? *relay_ : store_)), *this);
 }
 
 void table_reader::set_store(endpoint store)
@@ -69,12 +73,46 @@
     under_way_ = false;
 }
 
+void table_reader::read_from(const std::optional<endpoint>& relay)
+{
+    if (relay == relay_) {
+        return;
+    }
+    relay_ = relay;
+    drop_connection();
+    under_way_ = false;
+}
+
+void table_reader::call_failed(read_result result, time_point now)
+{
+    if (relay_) {
+        // The store itself may well answer; it is asked before the table counts as out of reach.
+        relay_.reset();
+        on_outcome_(false, true);
+        return;
+    }
+    store_in_doubt_ = true;
+    on_outcome_(false, false);
+    report(follower_.on_no_page(result, now));
+}
+
 http_client_connection::head_verdict table_reader::on_answer_head(const http_head& head)
 {
     status_ = head.status;
     return http_client_connection::head_verdict::take;
 }
 
+void table_reader::on_answer_bytes(std::string_view bytes)
+{
+    body_.append(bytes);
+    if (body_.size() > largest_answer_bytes) {
+        body_ = {};
+        under_way_ = false;
+        drop_connection();
+        call_failed(read_result::failed, event_loop::now());
+    }
+}
+
 void table_reader::on_answer_end(bool reusable)
 {
     under_way_ = false;
@@ -87,16 +125,20 @@
         return;
     }
     if (status_ != status_ok) {
-        report(follower_.on_no_page(read_result::failed, now));
+        call_failed(read_result::failed, now);
         return;
     }
     auto page = decode_table_page(body_);
     body_.clear();
     body_.shrink_to_fit();
     if (!page) {
-        report(follower_.on_no_page(read_result::failed, now));
+        call_failed(read_result::failed, now);
         return;
     }
+    if (!relay_) {
+        store_in_doubt_ = false;
+    }
+    on_outcome_(true, relay_.has_value());
     report(follower_.on_page(std::move(page.value()), now));
 }
 
@@ -104,7 +146,7 @@
 {
     under_way_ = false;
     drop_connection();
-    report(follower_.on_no_page(read_result::failed, event_loop::now()));
+    call_failed(read_result::failed, event_loop::now());
 }
 
 void table_reader::drop_connection()
--- a/router/store_link.h
+++ b/router/store_link.h
@@ -7,18 +7,22 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace clementinegap {
 
-/// Reads one table of the platform's store: makes the calls that its follower asks for.
+/// Reads one table of the platform's store, or of a daemon that reads the store: makes the calls that its
+/// follower asks for.
 class table_reader final : private http_client_connection::exchange {
 public:
     using callback = std::function<void(table_follower::progress)>;
+    /// Whether the call that ended had an answer, from the store or from a relay.
+    using outcome_callback = std::function<void(bool answered, bool from_relay)>;
 
-    table_reader(event_loop& loop, endpoint store, std::string table, std::uint64_t seed,
-                 callback on_progress);
+    table_reader(event_loop& loop, endpoint store, table_follower follower, callback on_progress,
+                 outcome_callback on_outcome);
     ~table_reader() override;
     table_reader(const table_reader&) = delete;
     table_reader& operator=(const table_reader&) = delete;
@@ -27,24 +31,33 @@
     void run(time_point now);
     /// Calls another address from the next call on.
     void set_store(endpoint store);
+    /// Reads from another daemon from now on; nothing: from the store.
+    void read_from(const std::optional<endpoint>& relay);
+    const table_follower& follower() const { return follower_; }
     /// When `run` is due.
     time_point due() const;
 
 private:
     /// A call that has had no answer for this long beyond its own wait has none to come.
     static constexpr duration answer_timeout = milliseconds(2500);
+    /// A page of the store holds 1 MB of rows, a relay's a whole table; an answer beyond this has no end.
+    static constexpr std::size_t largest_answer_bytes = std::size_t{16} << 20U;
 
     http_client_connection::head_verdict on_answer_head(const http_head& head) override;
-    void on_answer_bytes(std::string_view bytes) override { body_.append(bytes); }
+    void on_answer_bytes(std::string_view bytes) override;
     void on_answer_end(bool reusable) override;
     void on_exchange_failed(const exchange_failure& why) override;
     void drop_connection();
+    void call_failed(read_result result, time_point now);
     void report(table_follower::progress progress);
 
     event_loop& loop_;
     endpoint store_;
+    std::optional<endpoint> relay_;
     table_follower follower_;
     callback on_progress_;
+    outcome_callback on_outcome_;
+    bool store_in_doubt_{false}; ///< Its last call failed, so the next one must not wait for a change.
     std::shared_ptr<http_client_connection> connection_;
     std::shared_ptr<http_client_connection> retired_;
     bool under_way_{false};
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "routing/engine_speed.h"
 #include "routing/prompt_cache_view.h"
+#include "routing/row_source.h"
 
 #include <cstdint>
 #include <map>
@@ -48,6 +49,7 @@
     std::vector<part_placement> placements; ///< Since the report before.
     duration next_in{0}; ///< Until the daemon's next report; larger fleets report more rarely.
     std::vector<service_speed> speeds{}; ///< In some of the reports.
+    row_offer rows{};                    ///< What it can give of the platform's tables.
 };
 
 /// The load of every upstream as the sum of this daemon's own work and the latest reports of the others. A
--- /dev/null
+++ b/routing/row_source.cpp
@@ -0,0 +1,139 @@
+#include "routing/row_source.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace clementinegap {
+
+row_source::row_source(std::string daemon, const row_offer& own, bool usual)
+    : daemon_(std::move(daemon)), own_(own), usual_(usual)
+{
+}
+
+void row_source::on_report(const std::string& daemon, const row_offer& offer, duration heard_for,
+                           time_point now)
+{
+    first_heard_ = std::min(first_heard_, now);
+    auto& known = peers_[daemon];
+    known.offer = offer;
+    known.heard_until = now + heard_for;
+    known_version_ = std::max(known_version_, offer.directory_version);
+    if (known_version_ > own_.directory_version && behind_since_ == never) {
+        behind_since_ = now;
+    }
+}
+
+void row_source::directory_read(std::uint64_t version, time_point now)
+{
+    own_.directory_version = std::max(own_.directory_version, version);
+    behind_since_ = known_version_ > own_.directory_version ? now : never;
+}
+
+void row_source::relay_failed(const std::string& daemon, time_point now)
+{
+    relays_avoided_until_ = now + avoided_for;
+    if (const auto found = peers_.find(daemon); found != peers_.end()) {
+        found->second.avoided_until = now + avoided_for;
+    }
+}
+
+void row_source::store_failed(std::size_t reader, time_point now)
+{
+    failing_since_[reader] = std::min(failing_since_[reader], now);
+    if (now - failing_since() >= store_patience) {
+        store_avoided_until_ = now + avoided_for;
+    }
+}
+
+void row_source::store_answered(std::size_t reader)
+{
+    failing_since_[reader] = never;
+    if (failing_since() == never) {
+        store_avoided_until_ = time_point{};
+    }
+}
+
+bool row_source::may_serve(time_point now) const
+{
+    return failing_since() == never || now - failing_since() < serving_patience;
+}
+
+bool row_source::is_settling(time_point now) const
+{
+    return first_heard_ == never || now - first_heard_ < settling;
+}
+
+bool row_source::lags(time_point now) const
+{
+    return behind_since_ != never && now - behind_since_ > lag_allowed;
+}
+
+const std::string& row_source::choose(time_point now)
+{
+    std::erase_if(peers_, [&](const auto& each) { return each.second.heard_until <= now; });
+    if (lags(now)) {
+        // Whatever is read from gives no more news, though it may still be connected.
+        behind_since_ = now;
+        if (!current_.empty()) {
+            relay_failed(current_, now);
+        } else {
+            store_avoided_until_ = now + avoided_for;
+        }
+    }
+    if (now < store_avoided_until_) {
+        current_ = best_relay(true, now);
+    } else if (!usual_ || is_settling(now) || now < relays_avoided_until_ || is_relay(now)) {
+        current_.clear();
+    } else {
+        current_ = best_relay(false, now);
+    }
+    return current_;
+}
+
+row_source::rank_value row_source::rank(const row_offer& offer, std::string_view name)
+{
+    return {-static_cast<int>(offer.link_mbps), hash64(name), name};
+}
+
+bool row_source::is_first(const rank_value& mine, time_point now) const
+{
+    auto before = static_cast<std::size_t>(rank(own_, daemon_) < mine ? 1 : 0);
+    for (const auto& [name, known] : peers_) {
+        const bool counts = known.heard_until > now && known.offer.zone == own_.zone;
+        before += counts && rank(known.offer, name) < mine ? 1 : 0;
+    }
+    return before < relays_per_zone;
+}
+
+bool row_source::usable(const peer& candidate, time_point now) const
+{
+    return candidate.offer.serves && candidate.heard_until > now && candidate.avoided_until <= now;
+}
+
+std::string row_source::best_relay(bool any_zone, time_point now) const
+{
+    const auto kept = peers_.find(current_);
+    if (kept != peers_.end() && usable(kept->second, now)) {
+        return current_;
+    }
+    std::string best;
+    std::pair<bool, std::uint64_t> best_rank;
+    for (const auto& [name, candidate] : peers_) {
+        const bool near = candidate.offer.zone == own_.zone;
+        const bool stays = near && is_first(rank(candidate.offer, name), now);
+        if (!usable(candidate, now) || (!stays && !any_zone)) {
+            continue;
+        }
+        const std::pair rank(near, hash64(name, hash64(daemon_)));
+        if (best.empty() || rank > best_rank) {
+            best = name;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/routing/table_copy.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "routing/table_follower.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace clementinegap {
+
+/// A copy of one table of the platform's store, kept up to date by a follower, from which other daemons can
+/// read what they would read from the store: all rows, or the changes after a version.
+class table_copy {
+public:
+    /// Takes over what the follower has read.
+    void apply(const table_follower::progress& read);
+
+    /// Whether all rows have been read once.
+    bool is_complete() const { return complete_; }
+    /// The rows are complete up to this version of the store.
+    std::uint64_t version() const { return version_; }
+    /// All rows that exist.
+    table_page listing() const;
+    /// Rows that changed after `version`, by version; nothing when the copy does not reach back so far.
+    std::optional<table_page> changes_after(std::uint64_t version) const;
+
+private:
+    /// Deleted rows that are remembered; a reader that lacks older ones lists the table anew.
+    static constexpr std::size_t most_deleted = 500;
+
+    void drop_oldest_deleted();
+
+    bool complete_{false};
+    std::uint64_t version_{0};
+    std::uint64_t reaches_back_to_{0}; ///< Deletions up to this version are not known.
+    std::map<std::string, table_row> rows_;
+    std::map<std::uint64_t, std::string> deleted_; ///< Keys by the version of their deletion.
+};
+
+} // namespace clementinegap
--- a/routing/table_follower.cpp
+++ b/routing/table_follower.cpp
@@ -9,10 +9,6 @@
 
 /// Each call is priced, so an idle one lasts long; the store allows 30 s.
 constexpr duration change_wait = seconds(20);
-/// Changes that follow each other are read together: each answer is a priced call of every daemon, and when a
-/// fleet starts, all its rows change. Short against the two seconds in which a configuration must be in
-/// force.
-constexpr duration batch_pause = milliseconds(300);
 /// A change that comes after so long a silence is read at once.
 constexpr duration quiet_time = seconds(1);
 constexpr duration first_pause = milliseconds(60);
@@ -21,8 +17,9 @@
 
 } // namespace
 
-table_follower::table_follower(std::string table, std::uint64_t seed)
-    : table_(std::move(table)), random_(static_cast<std::minstd_rand::result_type>(seed))
+table_follower::table_follower(std::string table, std::uint64_t seed, duration batch_pause)
+    : table_(std::move(table)), random_(static_cast<std::minstd_rand::result_type>(seed)),
+      batch_pause_(batch_pause)
 {
 }
 
@@ -51,10 +48,11 @@
     if (following_) {
         const bool quiet_before = now - changed_at_ >= quiet_time;
         if (!page.rows.empty()) {
-            next_at_ = quiet_before ? now : now + batch_pause;
+            next_at_ = quiet_before ? now : now + batch_pause_;
             changed_at_ = now;
         }
         version_ = std::max(version_, page.version);
+        result.version = version_;
         result.changes = std::move(page.rows);
         return result;
     }
@@ -72,6 +70,7 @@
     version_ = listing_version_;
     from_key_.clear();
     result.whole = true;
+    result.version = version_;
     result.changes = std::move(listing_);
     listing_.clear();
     return result;
--- a/routing/table_follower.h
+++ b/routing/table_follower.h
@@ -46,9 +46,15 @@
         bool whole{false};              ///< `changes` are all rows of the table.
         bool lost{false};               ///< The store stopped answering.
         bool regained{false};           ///< It answers again.
+        std::uint64_t version{0};       ///< The rows read so far are complete up to it; 0: none is.
     };
 
-    table_follower(std::string table, std::uint64_t seed);
+    /// Changes that follow each other are read together: each answer is a priced call, and when a fleet
+    /// starts, all its rows change. Short against the two seconds in which a configuration must be in force.
+    static constexpr duration usual_batch_pause = milliseconds(300);
+
+    /// \param batch_pause how long changes are gathered after one that was read.
+    table_follower(std::string table, std::uint64_t seed, duration batch_pause = usual_batch_pause);
 
     /// The next call; to be made when `next_at` is reached and none is under way.
     table_read next_call() const;
@@ -58,10 +64,14 @@
     /// \param result `history_gone` or `failed`.
     progress on_no_page(read_result result, time_point now);
     bool reachable() const { return reachable_; }
+    /// Whether all rows have been read, so that changes are awaited.
+    bool following() const { return following_; }
+    const std::string& table() const { return table_; }
 
 private:
     std::string table_;
     std::minstd_rand random_;
+    duration batch_pause_;
     time_point changed_at_{}; ///< When changes were last read.
     bool following_{false};
     bool reachable_{true};
--- a/tests/router/gateway_fixture.cpp
+++ b/tests/router/gateway_fixture.cpp
@@ -62,16 +62,19 @@
     gateway = std::make_unique<entry_gateway>(loop, router, log, counters, [](const soft_item&) {});
     gateway->listen({"127.0.0.1", 0});
     const endpoint address{"127.0.0.1", store.port()};
-    configuration =
-        std::make_unique<table_reader>(loop, address, "op", 1, [this](const table_follower::progress& got) {
+    configuration = std::make_unique<table_reader>(
+        loop, address, table_follower("op", 1),
+        [this](const table_follower::progress& got) {
             for (const auto& row : got.changes) {
                 if (auto table = decode_configuration(row.value)) {
                     gateway->post(configuration_received{table.value()});
                 }
             }
-        });
+        },
+        [](bool, bool) {});
     directory = std::make_unique<table_reader>(
-        loop, address, "servers", 2, [this](const table_follower::progress& got) { take_directory(got); });
+        loop, address, table_follower("servers", 2),
+        [this](const table_follower::progress& got) { take_directory(got); }, [](bool, bool) {});
     wake();
     run_until([this] { return router.is_ready(); });
 }
--- /dev/null
+++ b/tests/router/test_store_tables.cpp
@@ -0,0 +1,171 @@
+#include "router/store_tables.h"
+#include "stand_ins/routed_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <uv.h>
+
+using namespace clementinegap;
+
+namespace {
+
+constexpr duration bound = seconds(10);
+
+/// A daemon's tables with what it has read of the directory.
+struct followed_tables {
+    followed_tables(event_loop& loop, const std::string& name, std::uint16_t link_mbps, std::uint16_t store)
+        : tables(
+              loop, {name, "z", link_mbps, {"127.0.0.1", store}, true, 1},
+              [this](store_tables::table which, const table_follower::progress& read) {
+                  if (which != store_tables::table::directory) {
+                      return;
+                  }
+                  lost = lost || read.lost;
+                  if (read.whole) {
+                      rows.clear();
+                  }
+                  for (const auto& row : read.changes) {
+                      if (row.deleted) {
+                          rows.erase(row.key);
+                      } else {
+                          rows[row.key] = row.value;
+                      }
+                  }
+              },
+              [this](std::string_view event, std::string_view detail) {
+                  if (event == "rows.source") {
+                      source = detail;
+                  }
+              },
+              [this]() -> const std::string& { return configuration; })
+    {
+    }
+
+    std::map<std::string, std::string> rows;
+    std::string source{"store"};
+    std::string configuration{"{}"};
+    bool lost{false};
+    store_tables tables;
+};
+
+/// A store, two relays and a daemon that reads from one of them, on one loop.
+struct small_fleet {
+    small_fleet() : store(loop)
+    {
+        store.listen();
+        store.put("op", "config", "{}");
+        store.put("servers", "u1", "one");
+        store.put("daemons", "wide-1", "x");
+        int number = 0;
+        for (const auto* name : {"wide-1", "wide-2", "narrow"}) {
+            const std::uint16_t link = number++ < 2 ? 200 : 10;
+            daemons.push_back(std::make_unique<followed_tables>(loop, name, link, store.port()));
+            names.emplace_back(name);
+            for (std::uint16_t port = first_port; port < first_port + most_ports; ++port) {
+                if (daemons.back()->tables.listen({"127.0.0.1", port})) {
+                    ports.push_back(port);
+                    break;
+                }
+            }
+        }
+        std::map<std::string, endpoint> peers;
+        for (std::size_t i = 0; i < ports.size(); ++i) {
+            peers[names[i]] = {"127.0.0.1", ports[i]};
+        }
+        for (auto& each : daemons) {
+            each->tables.set_peers(peers);
+        }
+        wake();
+    }
+
+    void wake()
+    {
+        const auto now = event_loop::now();
+        for (std::size_t i = 0; i < daemons.size(); ++i) {
+            daemons[i]->tables.run(now);
+            daemons[i]->tables.sweep(now);
+            load_report report;
+            report.daemon = names[i];
+            report.next_in = milliseconds(100);
+            report.rows = daemons[i]->tables.offer(now);
+            for (std::size_t to = 0; to < daemons.size(); ++to) {
+                if (to != i) {
+                    daemons[to]->tables.on_report(report, now);
+                }
+            }
+        }
+        loop.wake_at(now + milliseconds(20), [this] { wake(); });
+    }
+
+    bool run_until(const std::function<bool()>& done)
+    {
+        const auto end = event_loop::now() + bound;
+        while (!done()) {
+            if (event_loop::now() > end) {
+                return false;
+            }
+            uv_run(loop.native(), UV_RUN_ONCE);
+        }
+        return true;
+    }
+
+    followed_tables& narrow() { return *daemons[2]; }
+
+    static constexpr std::uint16_t first_port = 23100;
+    static constexpr std::uint16_t most_ports = 200;
+    event_loop loop;
+    routed_store store;
+    std::vector<std::unique_ptr<followed_tables>> daemons;
+    std::vector<std::string> names;
+    std::vector<std::uint16_t> ports;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_tables_of_the_store)
+
+BOOST_FIXTURE_TEST_CASE(are_read_through_relays_with_wide_links, small_fleet)
+{
+    BOOST_REQUIRE(ports.size() == 3U);
+    BOOST_REQUIRE(run_until([&] { return narrow().source != "store"; }));
+    BOOST_TEST(daemons[0]->source == "store");
+    BOOST_TEST(daemons[1]->source == "store");
+    store.put("servers", "u2", "two");
+    BOOST_TEST(run_until([&] { return narrow().rows.contains("u2"); }));
+    store.erase("servers", "u1");
+    BOOST_TEST(run_until([&] { return !narrow().rows.contains("u1"); }));
+
+    BOOST_TEST_CONTEXT("a relay's outage of the store shows at its readers as their own")
+    {
+        store.set_weather(routed_store::weather::busy);
+        BOOST_TEST(run_until([&] { return narrow().lost; }));
+        store.set_weather(routed_store::weather::fair);
+        store.put("servers", "u3", "three");
+        BOOST_TEST(run_until([&] { return narrow().rows.contains("u3"); }));
+    }
+    BOOST_TEST_CONTEXT("a store that forgets its history leaves no reader behind")
+    {
+        store.forget_history();
+        store.put("servers", "u4", "four");
+        store.erase("servers", "u2");
+        BOOST_TEST(run_until([&] {
+            return std::ranges::all_of(daemons, [](const auto& each) {
+                return each->rows.contains("u4") && !each->rows.contains("u2");
+            });
+        }));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(are_read_from_the_store_when_the_relays_end, small_fleet)
+{
+    BOOST_REQUIRE(run_until([&] { return narrow().source != "store"; }));
+    for (const std::size_t relay : {1U, 0U}) {
+        daemons.erase(daemons.begin() + static_cast<std::ptrdiff_t>(relay));
+        names.erase(names.begin() + static_cast<std::ptrdiff_t>(relay));
+    }
+    store.put("servers", "u5", "five");
+    BOOST_TEST(run_until([&] { return daemons.front()->rows.contains("u5"); }));
+    BOOST_TEST(!daemons.front()->lost);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/row_fleet.cpp
@@ -0,0 +1,166 @@
+#include "routing/row_fleet.h"
+
+#include <algorithm>
+
+namespace clementinegap::testing {
+namespace {
+
+constexpr duration step_time = milliseconds(20);
+constexpr duration report_interval = milliseconds(700); ///< Of a hundred daemons.
+/// When the keep-alive of a connection shows that nobody is there.
+constexpr duration silence_shows = seconds(2);
+/// Changes that follow each other are read together.
+constexpr duration batch_pause = milliseconds(300);
+constexpr duration failed_pause = milliseconds(600);
+
+} // namespace
+
+row_fleet::row_fleet(std::size_t zones, std::size_t daemons_per_zone, std::uint32_t seed)
+    : zones_(zones), random_(seed)
+{
+    for (std::size_t i = 0; i < zones * daemons_per_zone; ++i) {
+        daemons_.push_back(make(i));
+    }
+}
+
+row_fleet::daemon row_fleet::make(std::size_t index)
+{
+    row_offer offer;
+    offer.zone = static_cast<std::uint32_t>(index % zones_);
+    offer.link_mbps = index / zones_ % 5 == 0 ? 200 : 20;
+    const auto name = "daemon-" + std::to_string(index);
+    daemon one{name, offer, row_source(name, offer, true), "", 0, true, false, now_, now_, {}, now_};
+    one.next_report = now_ + step_time * static_cast<int>(random_() % 35);
+    return one;
+}
+
+void row_fleet::restart(std::size_t index)
+{
+    const bool reachable = daemons_[index].store_reachable;
+    daemons_[index] = make(index);
+    daemons_[index].store_reachable = reachable;
+}
+
+void row_fleet::set_store_reachable(std::size_t index, bool reachable)
+{
+    daemons_[index].store_reachable = reachable;
+    daemons_[index].disturbed_at = now_;
+}
+
+void row_fleet::set_frozen(std::size_t index, bool frozen)
+{
+    daemons_[index].frozen = frozen;
+    daemons_[index].disturbed_at = now_;
+}
+
+bool row_fleet::sound_for(std::size_t index, duration span) const
+{
+    const auto& one = daemons_[index];
+    return one.store_reachable && !one.frozen && now_ - one.disturbed_at >= span;
+}
+
+std::size_t row_fleet::relays() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(daemons_, [](const daemon& one) { return one.reads_from.empty(); }));
+}
+
+void row_fleet::pass(duration span)
+{
+    for (const auto end = now_ + span; now_ < end;) {
+        now_ += step_time;
+        step();
+    }
+}
+
+bool row_fleet::serves(const daemon& one) const
+{
+    return one.reads_from.empty() && one.version > 0 && one.source.may_serve(now_);
+}
+
+row_fleet::daemon* row_fleet::find(const std::string& name)
+{
+    const auto found = std::ranges::find(daemons_, name, &daemon::name);
+    return found == daemons_.end() ? nullptr : &*found;
+}
+
+void row_fleet::step()
+{
+    for (auto& one : daemons_) {
+        if (one.frozen) {
+            continue;
+        }
+        if (now_ >= one.next_report) {
+            one.next_report = now_ + report_interval;
+            auto offer = one.offer;
+            offer.serves = serves(one);
+            offer.directory_version = one.version;
+            for (auto& other : daemons_) {
+                if (&other != &one && !other.frozen) {
+                    other.source.on_report(one.name, offer, report_interval * 3, now_);
+                }
+            }
+        }
+        const auto& chosen = one.source.choose(now_);
+        if (chosen != one.reads_from) {
+            one.reads_from = chosen;
+            one.silent_until.reset();
+            one.next_call = now_;
+        }
+        read(one);
+    }
+}
+
+void row_fleet::read(daemon& one)
+{
+    if (one.silent_until) {
+        if (now_ >= *one.silent_until) {
+            one.silent_until.reset();
+            call_fails(one);
+        }
+        return;
+    }
+    if (now_ < one.next_call) {
+        return;
+    }
+    auto newest = store_version_;
+    if (one.reads_from.empty()) {
+        if (!one.store_reachable) {
+            one.silent_until = now_ + silence_shows;
+            return;
+        }
+    } else {
+        const auto* relay = find(one.reads_from);
+        if (relay->frozen) {
+            one.silent_until = now_ + silence_shows;
+            return;
+        }
+        if (!serves(*relay)) {
+            call_fails(one);
+            return;
+        }
+        newest = relay->version;
+    }
+    if (newest <= one.version) {
+        return; // The call waits for a change.
+    }
+    store_calls_ += one.reads_from.empty() ? 1 : 0;
+    one.version = newest;
+    one.source.directory_read(newest, now_);
+    one.next_call = now_ + batch_pause;
+    if (one.reads_from.empty()) {
+        one.source.store_answered(0);
+    }
+}
+
+void row_fleet::call_fails(daemon& one)
+{
+    if (one.reads_from.empty()) {
+        one.source.store_failed(0, now_);
+        one.next_call = now_ + failed_pause;
+    } else {
+        one.source.relay_failed(one.reads_from, now_);
+    }
+}
+
+} // namespace clementinegap::testing
