--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t cache_share_divisor = 3;
 /// Keeps a report within a datagram.
 constexpr std::size_t most_reported_placements = 40;
+/// Reports of which one tells the speed of engines: some seconds in a large fleet, under one in a small one.
+constexpr std::uint64_t reports_per_speed = 8;
 
 } // namespace
 
@@ -139,9 +141,12 @@
     return found == speeds_.end() ? assumed_speed_ : found->second.value();
 }
 
-std::vector<service_speed> generation_placement::speeds() const
+std::vector<service_speed> generation_placement::take_speeds()
 {
     std::vector<service_speed> result;
+    if (reports_++ % reports_per_speed != 0) {
+        return result;
+    }
     for (const auto& [service, estimate] : speeds_) {
         result.push_back({service, estimate.value()});
     }
@@ -173,7 +178,7 @@
 
 void generation_placement::sent(const routed_request& request, time_point now)
 {
-    const auto expected = request.expected_start + speed(request.service).reading(request.first_read);
+    const auto expected = request.expected_start + speed(request.service).reading(request.sent_as.first_read);
     const auto ready_in = pace_.needed(request.service, request.step_tolerance, expected, 0);
     for (const auto& part : request.prompt.shared_parts()) {
         part_placement placement{request.upstream->id, part.id, part.tokens, ready_in};
@@ -197,10 +202,11 @@
 void generation_placement::ended_well(const routed_request& request, time_point now)
 {
     // Shared parts may be kept where nobody knows of it; the request's own tokens are always read.
-    if (request.tokens_to_read == request.prompt.own_tokens() && request.first_read == 0 &&
-        request.copy_from == nullptr && request.tokens_ahead <= request.tokens_to_read) {
+    const auto& sent = request.sent_as;
+    if (sent.reread_tokens == 0 && sent.first_read == 0 && sent.copy_from == nullptr &&
+        sent.tokens_ahead <= sent.prefill_tokens) {
         estimate(request.service)
-            .stream_ended({request.tokens_to_read + request.tokens_ahead, request.first_event_after,
+            .stream_ended({sent.prefill_tokens + sent.tokens_ahead, request.first_event_after,
                            now - request.sent_at - request.first_event_after,
                            request.prompt.expected_output()});
     }
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -52,8 +52,8 @@
     duration time_needed(const routed_request& request, const upstream_choice& choice) const;
     /// What is known of the engines of a service.
     engine_speed speed(std::string_view service) const;
-    /// What is known of all services' engines from own streams, for the other daemons.
-    std::vector<service_speed> speeds() const;
+    /// What is known of all services' engines, for a report; empty in most, since it changes slowly.
+    std::vector<service_speed> take_speeds();
     void heard(std::span<const service_speed> speeds);
     /// Urgency for the engine, from 0 to 9: by class, then short prompts before long ones.
     static std::uint8_t urgency(std::uint8_t class_urgency, std::uint32_t prefill_tokens);
@@ -87,6 +87,7 @@
     placement_rule rule_;
     engine_speed assumed_speed_;
     std::map<std::string, engine_speed_estimate, std::less<>> speeds_; ///< By service.
+    std::uint64_t reports_{0};
     demand_meter demand_;
     engine_pace pace_;
     prompt_cache_view caches_;
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -23,8 +23,6 @@
 constexpr duration least_time = milliseconds(20);
 /// Streams that begin while draining must be able to end: most last no longer than this.
 constexpr duration drain_stream_time = milliseconds(4500);
-/// The speed of engines changes slowly, so only each such report tells it.
-constexpr std::uint64_t reports_per_speed = 8;
 constexpr duration first_service_time = milliseconds(50);
 constexpr int service_time_smoothing = 16;
 
@@ -121,10 +119,7 @@
     request.first_event = false;
     request.sent_at = now_;
     request.expected_start = placement_.expected_start(request, choice);
-    request.tokens_to_read = choice.prefill_tokens;
-    request.tokens_ahead = choice.tokens_ahead;
-    request.first_read = choice.first_read;
-    request.copy_from = choice.copy_from;
+    request.sent_as = choice;
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     ledger_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
@@ -201,7 +196,7 @@
     const auto upstream = request.upstream;
     log("request.send_failed", request,
         std::string(to_string(event.fault)) + (event.answer_begun ? " begun" : ""));
-    if (request.is_generation() && event.fault == send_fault::not_run) {
+    if (event.fault == send_fault::not_run) {
         placement_.not_run(request, now_);
     }
     release(request);
@@ -280,9 +275,7 @@
     request.first_event = true;
     request.answer_begun = true;
     request.first_event_after = now_ - request.sent_at;
-    if (request.is_generation()) {
-        placement_.first_event(request, now_);
-    }
+    placement_.first_event(request, now_);
     ledger_.prefill_done(request.upstream->id, request.prefill_tokens);
     request.prefill_tokens = 0;
 }
@@ -499,9 +492,7 @@
     result.loads = ledger_.own_loads();
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
-    if (report_sequence_ % reports_per_speed == 1) {
-        result.speeds = placement_.speeds();
-    }
+    result.speeds = placement_.take_speeds();
     return result;
 }
 
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -34,15 +34,12 @@
     bool first_event{false};         ///< Of the current send.
     bool answer_begun{false}; ///< The caller has the head of an answer, of this send or an earlier one.
     time_point sent_at;
-    duration first_event_after{0};   ///< From the send to the first event.
-    duration expected_start{0};      ///< Until the first event, as expected when it was sent.
-    std::uint32_t tokens_to_read{0}; ///< Of its prompt, as expected when it was sent.
-    std::uint32_t first_read{0};     ///< Tokens of shared parts that are read for later requests too.
-    std::uint64_t tokens_ahead{0};   ///< Of other prompts that the engine had to read then.
-    upstream_ptr copy_from;          ///< Engine that it copies shared parts from; nullptr: none.
-    std::vector<std::string> tried;  ///< Upstreams that it was sent to or that could not be reached.
-    std::uint32_t sends{0};          ///< Sends that reached an upstream.
-    duration room_in{0};             ///< Expected wait at the upstream chosen last.
+    duration first_event_after{0};  ///< From the send to the first event.
+    duration expected_start{0};     ///< Until the first event, as expected when it was sent.
+    upstream_choice sent_as;        ///< What was chosen and expected for the current send.
+    std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
+    std::uint32_t sends{0};         ///< Sends that reached an upstream.
+    duration room_in{0};            ///< Expected wait at the upstream chosen last.
     std::uint32_t unreachable{0};
     bool may_have_run{false};
 
