--- a/core/time.h
+++ b/core/time.h
@@ -10,6 +10,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 using duration = std::chrono::microseconds;
--- a/misc/mutation_check.sh
+++ b/misc/mutation_check.sh
@@ -26,10 +26,13 @@
         missed=1
         continue
     fi
-    ninja -C "$scratch/build" -j "$jobs" test_scenarios test_request test_policy >"$scratch/$name.log" 2>&1 ||
+    programs="test_scenarios test_request test_policy"
+    grep -q '^+++ b/routing/' "tests/mutations/$name.patch" && programs=test_routing
+    # shellcheck disable=SC2086 # A list of programs.
+    ninja -C "$scratch/build" -j "$jobs" $programs >"$scratch/$name.log" 2>&1 ||
         { echo "| $name | does not build |"; missed=1; restore; continue; }
     seen=
-    for program in test_scenarios test_request test_policy; do
+    for program in $programs; do
         seen+=$(CG_SCHEDULES=$schedules "$scratch/build/bin/$program" --color_output=no 2>&1 |
             sed -n 's/.*error: in "\([^"]*\)".*/\1/p' | sed 's/^stories\///' | sort -u | head -4 | tr '\n' ' ')
     done
--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -5,8 +5,10 @@
 
 Real processes: entries, upstream stand-ins, a store stand-in. Each entry reaches the store, and all entries every other
 upstream, through a proxy of this script that delays, resets, silences, or loses the answers; processes are killed,
-paused, stopped and started by signals, in series that overlap. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
-the one to its own request and whole; a stream has no gap and no repeat; at the end, without faults, all is served.
+paused, stopped and started by signals, in series that overlap; upstreams say that they leave, or refuse and ask for a
+pause. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
+the one to its own request and whole; a stream has no gap and no repeat; an entry that is undisturbed sends nothing to an upstream
+that told it so; at the end, without faults, all is served.
 Exits 1 when a promise is broken and prints the seed. Ends only processes that it started.
 """
 import argparse
@@ -31,6 +33,9 @@
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
 KINDS = ("look", "book", "ask", "guide")
 RECOVERY_S = 12
+LEAVING_BOUND_S = 2  # As the users' sites have it.
+PAUSE_BOUND_S = 0.5
+MOST_IN_PAUSE = 2
 
 
 class Proxy:
@@ -88,6 +93,7 @@
     def __init__(self, entries, upstreams):
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.processes, self.commands, self.runs = {}, {}, collections.Counter()
+        self.told, self.starts, self.disturbed = [], collections.Counter(), collections.defaultdict(list)
         self.lock = threading.Lock()
         self.store_port = free_port()
         self.start("store", [f"{BIN}/routed_stand_in", "--store", str(self.store_port)])
@@ -100,9 +106,8 @@
             if n % 2:
                 self.proxies[f"u{n}"] = Proxy(port)
             self.upstreams[f"u{n}"] = self.proxies[f"u{n}"].port if n % 2 else port
-        for name, port in self.upstreams.items():
-            self.write("servers", name, {"service": "app", "address": f"127.0.0.1:{port}", "zone": "z", "slots": 64,
-                                         "state": "ready", "born": 1})
+        for name in self.upstreams:
+            self.list_upstream(name)
         self.version = 0
         self.configure()
         self.entries = {}
@@ -131,6 +136,10 @@
         self.write("op", "config", {"version": self.version, "routes": routes, "services": [service],
                                     "limits": {"idle_timeout_ms": 15000}, "tenants": []})
 
+    def list_upstream(self, name):
+        self.write("servers", name, {"service": "app", "address": f"127.0.0.1:{self.upstreams[name]}", "zone": "z",
+                                     "slots": 64, "state": "ready", "born": self.starts[name]})
+
     def write(self, table, key, value):
         row = {"table": table, "part": "", "key": key, "value": base64.b64encode(json.dumps(value).encode()).decode()}
         connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
@@ -140,17 +149,25 @@
 
     def start(self, name, command):
         self.commands[name] = command
+        self.starts[name] += 1
         is_upstream = name.startswith("u")
         with open(os.path.join(self.folder, name + ".log"), "ab") as log:
             process = subprocess.Popen(command, stdout=subprocess.PIPE if is_upstream else log, stderr=log)
         self.processes[name] = process
         if is_upstream:
-            threading.Thread(target=self.read_runs, args=(process,), daemon=True).start()
+            threading.Thread(target=self.read_runs, args=(process, name), daemon=True).start()
 
-    def read_runs(self, process):
+    def read_runs(self, process, name):
+        """Notes what an upstream prints: "ID PATH" of a run, "refused ID MILLISECONDS", "leaving"."""
+        start = self.starts[name]
         for line in process.stdout:
+            words, now = line.decode().split(), time.monotonic()
             with self.lock:
-                self.runs[line.split()[0].decode()] += 1
+                if words[0] == "refused":
+                    self.told.append((now, name, start, words[1], float(words[2]) / 1000))
+                    continue
+                self.told.append((now, name, start, words[0], None))
+                self.runs[words[0]] += words[0] != "leaving"
 
     @staticmethod
     def wait_for(port):
@@ -168,6 +185,8 @@
     def restart(self, name):
         self.processes[name].wait()
         self.start(name, self.commands[name])
+        if name in self.upstreams:
+            self.list_upstream(name)
 
     def stop(self):
         for process in self.processes.values():
@@ -217,6 +236,15 @@
     """Faults in series that overlap, until the time is over; all is whole again at the end."""
     threads = []
 
+    def leave(name):
+        deployment.signal(name, signal.SIGUSR1)
+        time.sleep(randomly.uniform(0.5, 4))
+        deployment.signal(name, signal.SIGTERM)
+        deployment.restart(name)
+
+    def refuse(name):
+        deployment.signal(name, signal.SIGUSR2)
+
     def kill(name):
         deployment.signal(name, signal.SIGKILL)
         deployment.restart(name)
@@ -238,15 +266,18 @@
     busy = set()
 
     def run(action, name):
+        begun = time.monotonic()
         try:
             action(name)
         finally:
+            if action not in (leave, refuse):
+                deployment.disturbed[name].append((begun, time.monotonic()))
             busy.discard(name)
 
     while time.monotonic() < until:
         everyone = list(deployment.entries) + list(deployment.upstreams)
         name = randomly.choice(everyone)
-        actions = [kill, pause] + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
+        actions = [kill, pause] + [leave, refuse, refuse] * (name in deployment.upstreams) + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
         action = randomly.choice(actions)
         if name not in busy:
             busy.add(name)
@@ -274,6 +305,48 @@
             yield f"{name} ({kind}) got events that are not the beginning of its stream: {body[:80]!r}"
 
 
+def sends_of_entries(deployment):
+    """Which entry sent a request, by its id."""
+    sent_by = {}
+    for name in deployment.entries:
+        with open(os.path.join(deployment.folder, name + ".log"), encoding="utf-8") as file:
+            for text in file:
+                if '"request.sent"' in text and text.endswith("}\n"):
+                    sent_by[json.loads(text)["request"]] = name
+    return sent_by
+
+
+def ignored_notices(deployment):
+    """Requests that reached an upstream from an entry that it had told to send none."""
+    sent_by = sends_of_entries(deployment)
+
+    def undisturbed(names, begin, end):
+        return not any(at <= end and until + PAUSE_BOUND_S >= begin
+                       for each in names for at, until in deployment.disturbed[each])
+
+    leaving, told_leaving, pauses = set(), {}, {}
+    for now, upstream, start, what, pause in sorted(deployment.told, key=lambda each: each[0]):
+        if what == "leaving":
+            leaving.add((upstream, start))
+            continue
+        entry = sent_by.get(what)
+        key = (upstream, start, entry)
+        if entry is None:
+            continue
+        told_at = told_leaving.get(key, now)
+        if now - told_at > LEAVING_BOUND_S and undisturbed((entry, upstream), told_at, now):
+            yield f"{what} reached {upstream} from {entry} {now - told_at:.2f} s after it had said that it leaves"
+        begun, ends, count = pauses.get(key, (0, 0, 0))
+        if begun + PAUSE_BOUND_S < now < ends and undisturbed((entry, upstream), begun, now):
+            pauses[key] = (begun, ends, count + 1)
+            if count == MOST_IN_PAUSE:
+                yield f"{what} reached {upstream} from {entry} in a pause, {now - begun:.2f} s after it was asked for"
+        elif pause is not None:
+            pauses[key] = (now, now + pause, 0)
+        if (upstream, start) in leaving:
+            told_leaving.setdefault(key, now)
+
+
 def odd_log_lines(deployment):
     """Lines of the entries' logs that are not of the form of docs/entry-log.json; a kill may cut the last one."""
     with open(os.path.join(os.path.dirname(__file__), "..", "docs", "entry-log.json"), encoding="utf-8") as file:
@@ -333,7 +406,7 @@
         time.sleep(0.3)
     finally:
         deployment.stop()
-    problems = list(broken_promises(results, deployment.runs)) + list(odd_log_lines(deployment))
+    problems = [*broken_promises(results, deployment.runs), *ignored_notices(deployment), *odd_log_lines(deployment)]
     if not recovered:
         problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
     ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
--- a/observability/routed_explanation.cpp
+++ b/observability/routed_explanation.cpp
@@ -74,7 +74,8 @@
 {
     const auto& detail = failed.record.detail;
     const std::string at = " " + failed.record.upstream;
-    const std::array<std::pair<std::string_view, std::string>, 6> texts{{
+    const std::array<std::pair<std::string_view, std::string>, 7> texts{{
+        {"recalled", "it was taken back before a connection to" + at + " was made; nothing was sent"},
         {"unreachable", "no connection to" + at + "; nothing was sent"},
         {"not_run", "it was turned away by" + at + " without having run"},
         {"wrong_instance", "another process answered at the address of" + at + "; it did not run"},
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -179,6 +179,13 @@
     }
 }
 
+void entry_gateway::apply(const recall_unsent& action)
+{
+    for (auto& [number, each] : exchanges_) {
+        each->recall_unsent(action.upstream);
+    }
+}
+
 void entry_gateway::exchange_ended(request_number number)
 {
     const auto found = exchanges_.find(number);
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -66,6 +66,7 @@
     void apply(const pass_failure& action);
     void apply(const cut_caller& action);
     void apply(const stop_send& action);
+    void apply(const recall_unsent& action);
     void apply(const log_decision& action);
     void apply(const measure_request& action);
     void apply(const spread_item& action) { spread_(action.item); }
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -35,6 +35,7 @@
     result.incarnation = incarnation;
     result.placement = settings.placement;
     result.assumed_speed = settings.assumed_speed;
+    result.longest_pause = settings.longest_pause;
     result.retries = {settings.retry_ratio, settings.retry_slack, settings.retry_window};
     return result;
 }
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -31,7 +31,8 @@
     duration directory_bound{0};     ///< In which a change of the directory must be known everywhere.
     duration configuration_bound{0}; ///< The same for the configuration.
     engine_speed assumed_speed;      ///< Of engines that nothing is known of yet.
-    duration stop_grace{seconds(8)}; ///< From SIGTERM until the process is killed.
+    duration longest_pause{minutes(10)}; ///< That an upstream is granted when it asks for none to be sent.
+    duration stop_grace{seconds(8)};     ///< From SIGTERM until the process is killed.
 };
 
 /// Reads and checks a whole settings text; `invalid_settings` with every fault, one a line.
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -1,5 +1,7 @@
 #include "router/exchange.h"
 
+#include "platform/notice_headers.h"
+
 namespace clementinegap {
 
 exchange::exchange(owner& by, http_server_connection& caller, request_number number, std::string id,
@@ -36,9 +38,20 @@
     }
 }
 
+void exchange::recall_unsent(std::string_view upstream)
+{
+    if (connection_ && !connection_->connected() && order_.upstream->id == upstream) {
+        stop_send();
+        report_fault(send_fault::recalled);
+    }
+}
+
 http_client_connection::head_verdict exchange::on_answer_head(const http_head& head)
 {
     using verdict = http_client_connection::head_verdict;
+    if (auto notice = decode_notice(head, *order_.upstream); notice.says_something()) {
+        by_.post(std::move(notice));
+    }
     auto answer = decode_answer(head);
     if (!answer.request_id.empty() && answer.request_id != id_) {
         return verdict::discard;
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -35,6 +35,8 @@
 
     void send(const send_request& order);
     void stop_send();
+    /// Takes back a send to this upstream that has no connection yet.
+    void recall_unsent(std::string_view upstream);
     void answer(const answer_caller& order);
     void pass_failure();
     void cut();
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// Raised whenever the layout changes; daemons of different layouts ignore each other's reports.
-constexpr int layout = 8;
+constexpr int layout = 9;
 
 } // namespace
 
@@ -16,7 +16,7 @@
 {
     json loads = json::array();
     for (const auto& [id, load] : report.loads) {
-        loads.push_back({id, load.in_flight, load.short_gaps, load.prefill_tokens});
+        loads.push_back({id, load.in_flight, load.short_gaps, load.prefill_tokens, load.pauses});
     }
     json demands = json::array();
     for (const auto& each : report.demands) {
@@ -36,6 +36,10 @@
         speeds.push_back({each.service, static_cast<float>(each.speed.prompt_tokens_per_ms),
                           each.speed.token.count(), each.speed.samples});
     }
+    json departures = json::array();
+    for (const auto& each : report.departures) {
+        departures.push_back({each.upstream, each.incarnation});
+    }
     const json document = {
         layout,
         report.daemon,
@@ -48,7 +52,8 @@
         placements,
         report.next_in.count(),
         speeds,
-        {report.rows.zone, report.rows.link_mbps, report.rows.serves, report.rows.directory_version}};
+        {report.rows.zone, report.rows.link_mbps, report.rows.serves, report.rows.directory_version},
+        departures};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -69,10 +74,10 @@
         report.configuration_version = document.at(4).get<std::uint64_t>();
         report.next_in = duration(document.at(9).get<duration::rep>());
         for (const auto& each : document.at(5)) {
-            report.loads.emplace_back(each.at(0).get<std::string>(),
-                                      upstream_load{each.at(1).get<std::uint32_t>(),
-                                                    each.at(2).get<std::uint32_t>(),
-                                                    each.at(3).get<std::uint32_t>()});
+            report.loads.emplace_back(
+                each.at(0).get<std::string>(),
+                upstream_load{each.at(1).get<std::uint32_t>(), each.at(2).get<std::uint32_t>(),
+                              each.at(3).get<std::uint32_t>(), each.at(4).get<std::uint32_t>()});
         }
         for (const auto& each : document.at(6)) {
             report.demands.push_back({duration(each.at(0).get<duration::rep>()), each.at(1).get<double>(),
@@ -95,6 +100,9 @@
             speed.samples = each.at(3).get<std::uint32_t>();
             report.speeds.push_back({each.at(0).get<std::string>(), speed});
         }
+        for (const auto& each : document.at(12)) {
+            report.departures.push_back({each.at(0).get<std::string>(), each.at(1).get<std::int64_t>()});
+        }
         for (const auto& each : document.at(7)) {
             soft_item item;
             item.origin = report.daemon;
--- a/routing/admission.cpp
+++ b/routing/admission.cpp
@@ -63,6 +63,7 @@
     request.step_tolerance =
         generation_placement::step_tolerance(*match.found, table->find_service(request.service));
     request.arrived = now;
+    request.sent_at = now; // Until it is sent: nothing is measured from before its arrival.
     const auto timeout = match.found->timeout > duration::zero() ? match.found->timeout : longest_request;
     request.ends_at = now + std::min(timeout, event.deadline.value_or(timeout));
     return request;
--- a/routing/load_ledger.cpp
+++ b/routing/load_ledger.cpp
@@ -78,6 +78,7 @@
         auto& sum = others_[upstream];
         sum.in_flight += static_cast<std::uint32_t>(sign) * load.in_flight;
         sum.short_gaps += static_cast<std::uint32_t>(sign) * load.short_gaps;
+        sum.pauses += static_cast<std::uint32_t>(sign) * load.pauses;
         sum.prefill_tokens += static_cast<std::uint32_t>(sign) * load.prefill_tokens;
         if (sum == upstream_load{}) {
             others_.erase(upstream);
@@ -91,6 +92,7 @@
     const auto others = find_load(others_, upstream);
     sum.in_flight += others.in_flight;
     sum.short_gaps += others.short_gaps;
+    sum.pauses += others.pauses;
     sum.prefill_tokens += others.prefill_tokens;
     return sum;
 }
@@ -105,9 +107,14 @@
     return result;
 }
 
-std::vector<std::pair<std::string, upstream_load>> load_ledger::own_loads() const
+std::vector<std::pair<std::string, upstream_load>>
+load_ledger::own_loads(std::span<const std::string> paused) const
 {
-    return {own_.begin(), own_.end()};
+    auto loads = own_;
+    for (const auto& upstream : paused) {
+        loads[upstream].pauses = 1;
+    }
+    return {loads.begin(), loads.end()};
 }
 
 } // namespace clementinegap
--- a/routing/load_ledger.h
+++ b/routing/load_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "routing/departures.h"
 #include "routing/engine_speed.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/row_source.h"
@@ -20,6 +21,7 @@
     std::uint32_t in_flight{0};
     std::uint32_t short_gaps{0};     ///< Requests of the kind of stream that tolerates the shortest gaps.
     std::uint32_t prefill_tokens{0}; ///< Prompt tokens still to be read, by the senders' estimate.
+    std::uint32_t pauses{0};         ///< Daemons that it asked to send nothing for now: it is likely full.
     bool operator==(const upstream_load&) const = default;
 };
 
@@ -49,6 +51,7 @@
     std::vector<part_placement> placements; ///< Since the report before.
     duration next_in{0}; ///< Until the daemon's next report; larger fleets report more rarely.
     std::vector<service_speed> speeds{}; ///< In some of the reports.
+    std::vector<departure> departures{}; ///< Listed upstreams that said that they are leaving.
     row_offer rows{};                    ///< What it can give of the platform's tables.
 };
 
@@ -75,8 +78,8 @@
     std::vector<stream_demand> demands_of_others() const;
     /// Daemons whose reports count.
     std::size_t reporting_daemons() const { return reports_.size(); }
-    /// This daemon's own loads, for its report.
-    std::vector<std::pair<std::string, upstream_load>> own_loads() const;
+    /// This daemon's own loads, for its report. \param paused upstreams that asked it for a pause.
+    std::vector<std::pair<std::string, upstream_load>> own_loads(std::span<const std::string> paused) const;
 
 private:
     struct received {
--- /dev/null
+++ b/routing/opening_queue.cpp
@@ -0,0 +1,64 @@
+#include "routing/opening_queue.h"
+
+#include "routing/scaled_duration.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+
+std::optional<service_opening> opening_of(std::span<const upstream_ptr> upstreams,
+                                          std::span<const std::string> excluded,
+                                          const upstream_pauses& pauses, time_point now)
+{
+    std::optional<service_opening> result;
+    for (const auto& each : upstreams) {
+        if (std::ranges::find(excluded, each->id) != excluded.end()) {
+            continue;
+        }
+        const auto at = pauses.opens_at(each->id, now);
+        if (!at) {
+            return std::nullopt;
+        }
+        if (!result || *at < result->at) {
+            result = service_opening{*at, 0, 0};
+        }
+        if (*at == result->at) {
+            ++result->upstreams;
+            result->slots += each->slots;
+        }
+    }
+    return result;
+}
+
+std::optional<request_number> opening_queue::add(request_number request, std::uint8_t urgency,
+                                                 std::size_t places)
+{
+    waiting_.emplace(urgency, request);
+    if (waiting_.size() <= places) {
+        return std::nullopt;
+    }
+    const auto last = std::prev(waiting_.end());
+    const auto number = last->second;
+    waiting_.erase(last);
+    return number;
+}
+
+std::vector<request_number> opening_queue::in_order() const
+{
+    std::vector<request_number> result;
+    for (const auto& [urgency, request] : waiting_) {
+        result.push_back(request);
+    }
+    return result;
+}
+
+duration opening_queue::next_return(time_point opens, duration interval, std::minstd_rand& random,
+                                    time_point now)
+{
+    const auto place = std::max(opens, last_return_ + interval);
+    last_return_ = place;
+    const auto within = scaled(interval, std::uniform_real_distribution<double>(0, 1)(random));
+    return place + within - now;
+}
+
+} // namespace clementinegap
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -31,6 +31,8 @@
     /// each such stream: most of them are late then. Streams stay behind when their engine goes to another
     /// section.
     duration disturbance_cost{milliseconds(100)};
+    /// An engine that asked another daemon for a pause is likely full; about a first event's time there.
+    duration paused_elsewhere_cost{milliseconds(400)};
     /// What each request beyond an engine's slots waits for, about the time in which one of its streams ends.
     duration full_engine_cost{milliseconds(40)};
 };
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -13,8 +13,6 @@
 
 /// How often soft state is aged and engines are divided anew; well below the swings of the traffic.
 constexpr duration housekeeping_interval = milliseconds(250);
-/// Told to callers when nothing better is known: about the time in which a restarted upstream is listed.
-constexpr duration usual_return = milliseconds(800);
 /// Tenths of its objective after which a repeatable request is tried elsewhere; most answers are far sooner.
 constexpr std::int64_t move_tenths = 6;
 /// Connections that may be refused to one request before it is given up.
@@ -23,7 +21,6 @@
 constexpr duration least_time = milliseconds(20);
 /// Streams that begin while draining must be able to end: most last no longer than this.
 constexpr duration drain_stream_time = milliseconds(4500);
-constexpr duration first_service_time = milliseconds(50);
 constexpr int service_time_smoothing = 16;
 
 } // namespace
@@ -31,7 +28,7 @@
 request_router::request_router(router_settings settings)
     : settings_(std::move(settings)),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings_.daemon, settings_.incarnation))),
-      placement_(settings_.placement, settings_.assumed_speed)
+      placement_(settings_.placement, settings_.assumed_speed), pauses_(settings_.longest_pause)
 {
 }
 
@@ -83,13 +80,12 @@
 upstream_choice request_router::choose(const routed_request& request) const
 {
     const choice_view view{ledger_,       health_, placement_.caches(), settings_.zone,
-                           request.tried, now_,    request.short_gap,   placement_.speed(request.service)};
+                           request.tried, now_,    request.short_gap,   placement_.speed(request.service),
+                           &pauses_};
     if (request.is_generation()) {
         return placement_.choose(request, view);
     }
-    const auto known = service_times_.find(request.service);
-    return choose_plain(directory_.usable(request.service, now_),
-                        known == service_times_.end() ? first_service_time : known->second, view);
+    return choose_plain(directory_.usable(request.service, now_), service_time(request.service), view);
 }
 
 bool request_router::try_send(routed_request& request)
@@ -101,7 +97,10 @@
     divide_engines();
     const auto choice = choose(request);
     request.room_in = choice.expected_wait;
-    if (!choice.upstream || choice.expected_wait > time_left) {
+    if (!choice.upstream) {
+        return wait_for_opening(request);
+    }
+    if (choice.expected_wait > time_left) {
         return false;
     }
     if (request.is_generation()) {
@@ -122,6 +121,7 @@
     request.sent_as = choice;
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
+    request.on_trial = pauses_.sent(choice.upstream->id);
     ledger_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
     if (request.is_generation()) {
         placement_.sent(request, now_);
@@ -181,7 +181,7 @@
         actions_.emplace_back(answer_caller{number, 504, result_code::deadline_expired, std::nullopt});
     } else {
         actions_.emplace_back(
-            answer_caller{number, 503, result_code::deadline_expired, jittered(usual_return)});
+            answer_caller{number, 503, result_code::deadline_expired, return_time(request)});
     }
     finish(request, result_code::deadline_expired);
 }
@@ -199,12 +199,16 @@
     if (event.fault == send_fault::not_run) {
         placement_.not_run(request, now_);
     }
+    end_trial(request, event.fault == send_fault::recalled ? trial_end::unknown : trial_end::failed);
     release(request);
     health_.send_failed(upstream->id, event.fault, now_);
     if (event.fault == send_fault::unreachable) {
         --request.sends;
         ++request.unreachable;
         process_gone(upstream->id);
+    } else if (event.fault == send_fault::recalled) {
+        --request.sends;
+        request.tried.pop_back(); // Once it opens again, it may be asked like any other.
     } else if (event.fault == send_fault::lost) {
         crashes_.send_lost(upstream->id, request.fingerprint, now_);
     }
@@ -230,7 +234,8 @@
     if (crashes_.is_quarantined(request.fingerprint, now_)) {
         return false;
     }
-    if (event.fault == send_fault::unreachable && request.sends == 0) {
+    if (event.fault == send_fault::recalled ||
+        (event.fault == send_fault::unreachable && request.sends == 0)) {
         return true;
     }
     if (!budget(request.service).take(daemons(), now_)) {
@@ -255,8 +260,7 @@
         log("request.refused", request,
             request.sends + request.unreachable == 0 ? "503 no upstream can end it in time"
                                                      : "503 after " + std::string(to_string(fault)));
-        actions_.emplace_back(
-            answer_caller{request.number, 503, code, jittered(std::max(usual_return, request.room_in))});
+        actions_.emplace_back(answer_caller{request.number, 503, code, return_time(request)});
     } else {
         code = fault == send_fault::bad_answer ? result_code::upstream_failed : result_code::upstream_lost;
         log("request.failed", request, "502 after " + std::string(to_string(fault)) + ", it may have run");
@@ -278,6 +282,7 @@
     placement_.first_event(request, now_);
     ledger_.prefill_done(request.upstream->id, request.prefill_tokens);
     request.prefill_tokens = 0;
+    end_trial(request, trial_end::answered);
 }
 
 void request_router::on(const request_completed& event)
@@ -300,15 +305,16 @@
             }
         }
         if (!request.is_generation()) {
-            auto& smoothed = service_times_.try_emplace(request.service, first_service_time).first->second;
-            smoothed += (now_ - request.arrived - smoothed) / service_time_smoothing;
+            const auto known = service_time(request.service);
+            service_times_[request.service] =
+                known + (now_ - request.sent_at - known) / service_time_smoothing;
         }
     }
     log("request.completed", request,
         "total_ms " + std::to_string(to_milliseconds(now_ - request.arrived)) + " first_ms " +
             std::to_string(to_milliseconds(request.first_event_after)) +
             (event.upstream_failed ? " upstream_failed" : ""));
-    release(request);
+    end_trial(request, event.upstream_failed ? trial_end::failed : trial_end::answered);
     finish(request, event.upstream_failed ? result_code::upstream_failed : result_code::ok);
 }
 
@@ -331,6 +337,7 @@
     if (!request.upstream) {
         return;
     }
+    end_trial(request, trial_end::unknown);
     ledger_.remove(request.upstream->id, request.prefill_tokens, request.short_gap);
     request.prefill_tokens = 0;
     request.upstream = nullptr;
@@ -338,18 +345,9 @@
 
 void request_router::finish(routed_request& request, result_code code)
 {
-    measure_request measure;
-    measure.route = request.way->name;
-    measure.code = code;
-    measure.urgency = request.urgency;
-    measure.total = now_ - request.arrived;
-    measure.first_event = request.way->is_stream
-                              ? request.sent_at - request.arrived + request.first_event_after
-                              : measure.total;
-    measure.on_time = code == result_code::ok && measure.first_event <= request.way->objective;
-    measure.sends = request.sends;
-    actions_.emplace_back(std::move(measure));
+    actions_.emplace_back(measure_of(request, code, now_));
     release(request);
+    stop_waiting(request);
     timers_.cancel(request.timer);
     requests_.erase(request.number);
 }
@@ -445,6 +443,9 @@
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
     }
+    for (const auto& each : event.report.departures) {
+        take_departure(each, "heard from " + event.report.daemon);
+    }
 }
 
 void request_router::divide_engines()
@@ -463,7 +464,11 @@
     crashes_.expire(now_);
     placement_.expire(now_);
     directory_.expire(now_);
+    pauses_.expire(now_);
     division_is_old_ = true;
+    for (const auto& [service, queue] : openings_) {
+        serve_waiting(service);
+    }
     timers_.schedule(now_ + housekeeping_interval, [this](time_point) { housekeeping(); });
 }
 
@@ -489,7 +494,8 @@
     result.incarnation = settings_.incarnation;
     result.sequence = ++report_sequence_;
     result.configuration_version = table_ ? table_->version() : 0;
-    result.loads = ledger_.own_loads();
+    result.loads = ledger_.own_loads(pauses_.paused(now));
+    result.departures = directory_.departing_listed();
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
     result.speeds = placement_.take_speeds();
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -4,6 +4,7 @@
 #include "routing/crash_watch.h"
 #include "routing/generation_placement.h"
 #include "routing/load_ledger.h"
+#include "routing/opening_queue.h"
 #include "routing/retry_budget.h"
 #include "routing/routed_request.h"
 #include "routing/router_events.h"
@@ -27,7 +28,8 @@
     std::uint64_t incarnation{0}; ///< Start time, so that a restarted daemon's reports are newer.
     retry_budget_settings retries;
     placement_rule placement{prompt_affinity{}};
-    engine_speed assumed_speed{}; ///< Of engines that nothing is known of.
+    engine_speed assumed_speed{};        ///< Of engines that nothing is known of.
+    duration longest_pause{minutes(10)}; ///< That an upstream is granted; see `upstream_pauses`.
 };
 
 /// The decisions of an entry daemon that sends callers' requests straight to upstreams: which route, which
@@ -54,8 +56,12 @@
     std::uint64_t divisions() const { return divisions_; }
 
 private:
+    /// Told to callers when nothing better is known: about the time in which a restarted upstream is listed.
+    static constexpr duration usual_return = milliseconds(800);
+
     void on(const request_arrived& event);
     void on(const send_failed& event);
+    void on(const upstream_notice& event);
     void on(const first_event_seen& event);
     void on(const request_completed& event);
     void on(const caller_left& event);
@@ -67,7 +73,7 @@
     void on(const directory_reachable& event);
     void on(const load_reported& event);
     void on(const fleet_size_known& event) { registered_daemons_ = event.daemons; }
-    void on(const drain_begun& event) { last_end_ = event.last_end; }
+    void on(const drain_begun& event);
     void on(const tick&);
 
     upstream_choice choose(const routed_request& request) const;
@@ -75,6 +81,16 @@
     void release(routed_request& request);
     bool may_send_again(routed_request& request, const send_failed& event);
     void give_up(routed_request& request, send_fault fault, bool answer_begun);
+    void take_departure(const departure& value, const std::string& source);
+    /// Keeps a request until an upstream of its service opens; false where there is no use in it.
+    bool wait_for_opening(routed_request& request);
+    void stop_waiting(routed_request& request);
+    /// Sends what waits for this service, as far as its upstreams take it.
+    void serve_waiting(const std::string& service);
+    void end_trial(routed_request& request, trial_end how);
+    /// When a caller that is refused should return.
+    duration return_time(const routed_request& request);
+    duration service_time(const std::string& service) const;
     void on_timer(request_number number);
     void schedule(routed_request& request);
     void finish(routed_request& request, result_code code);
@@ -99,6 +115,8 @@
     load_ledger ledger_;
     generation_placement placement_;
     crash_watch crashes_;
+    upstream_pauses pauses_;
+    std::map<std::string, opening_queue, std::less<>> openings_; ///< By service.
     std::map<std::string, retry_budget, std::less<>> budgets_;
     std::map<std::string, duration, std::less<>> service_times_; ///< Smoothed time of a plain request.
     std::unordered_map<request_number, routed_request> requests_;
--- /dev/null
+++ b/routing/request_router_pauses.cpp
@@ -0,0 +1,170 @@
+#include "routing/request_router.h"
+
+#include <algorithm>
+
+/// \file
+/// The part of the router that answers upstreams which leave or ask for a pause.
+
+namespace clementinegap {
+namespace {
+
+/// Of a plain request at a service that has answered none yet.
+constexpr duration first_service_time = milliseconds(50);
+
+} // namespace
+
+void request_router::on(const upstream_notice& event)
+{
+    if (!event.unreadable.empty()) {
+        actions_.emplace_back(
+            log_decision{"upstream.notice_unreadable", "", event.upstream, event.unreadable});
+    }
+    if (event.leaving) {
+        const auto listed = directory_.find(event.upstream);
+        if (event.incarnation || listed) {
+            take_departure({event.upstream, event.incarnation.value_or(listed ? listed->incarnation : 0)},
+                           "told in an answer");
+        }
+    }
+    if (!event.pause) {
+        return;
+    }
+    const auto kept = pauses_.asked(event.upstream, *event.pause, now_);
+    if (kept == duration::zero()) {
+        return;
+    }
+    actions_.emplace_back(log_decision{"upstream.paused", "", event.upstream,
+                                       "asked_ms " + std::to_string(to_milliseconds(*event.pause)) +
+                                           " kept_ms " + std::to_string(to_milliseconds(kept))});
+    actions_.emplace_back(recall_unsent{event.upstream});
+}
+
+void request_router::take_departure(const departure& value, const std::string& source)
+{
+    if (!directory_.departing(value, now_)) {
+        return;
+    }
+    actions_.emplace_back(log_decision{"upstream.leaving", "", value.upstream, source});
+    actions_.emplace_back(recall_unsent{value.upstream});
+    division_is_old_ = true;
+}
+
+bool request_router::wait_for_opening(routed_request& request)
+{
+    if (draining()) {
+        return false;
+    }
+    const auto opening = opening_of(directory_.usable(request.service, now_), request.tried, pauses_, now_);
+    if (!opening) {
+        return false;
+    }
+    const auto opens_in = opening->at - now_;
+    upstream_choice first_to_open;
+    first_to_open.expected_wait = opens_in;
+    first_to_open.prefill_tokens = request.prompt.own_tokens();
+    const auto needed = request.is_generation() ? placement_.time_needed(request, first_to_open)
+                                                : opens_in + service_time(request.service);
+    if (now_ + needed > request.ends_at) {
+        return false;
+    }
+    auto& queue = openings_[request.service];
+    const auto places = std::max<std::size_t>(1, opening->slots / daemons());
+    const auto displaced = queue.add(request.number, request.urgency, places);
+    if (displaced == request.number) {
+        return false;
+    }
+    request.waiting = true;
+    timers_.cancel(request.timer);
+    request.timer =
+        timers_.schedule(request.ends_at, [this, number = request.number](time_point) { on_timer(number); });
+    timers_.cancel(queue.timer);
+    queue.timer = timers_.schedule(opening->at, [this, service = request.service](time_point) {
+        openings_[service].timer = 0;
+        serve_waiting(service);
+    });
+    log("request.waiting", request, "opens_in_ms " + std::to_string(to_milliseconds(opens_in)));
+    const auto last = displaced ? requests_.find(*displaced) : requests_.end();
+    if (last != requests_.end()) {
+        last->second.waiting = false;
+        give_up(last->second, send_fault::not_run, last->second.answer_begun);
+    }
+    return true;
+}
+
+void request_router::stop_waiting(routed_request& request)
+{
+    if (std::exchange(request.waiting, false)) {
+        openings_[request.service].remove(request.number, request.urgency);
+    }
+}
+
+void request_router::serve_waiting(const std::string& service)
+{
+    for (const auto number : openings_[service].in_order()) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end() || !found->second.waiting) {
+            continue;
+        }
+        auto& request = found->second;
+        stop_waiting(request);
+        if (!try_send(request)) {
+            give_up(request, send_fault::not_run, request.answer_begun);
+        } else if (request.waiting) {
+            return; // Nothing is open for those behind it either.
+        }
+    }
+}
+
+void request_router::end_trial(routed_request& request, trial_end how)
+{
+    if (!request.upstream || !std::exchange(request.on_trial, false)) {
+        return;
+    }
+    pauses_.trial_ended(request.upstream->id, how, now_);
+    if (openings_.contains(request.service)) {
+        serve_waiting(request.service);
+    }
+}
+
+void request_router::on(const drain_begun& event)
+{
+    last_end_ = event.last_end;
+    for (auto& [service, queue] : openings_) {
+        for (const auto number : queue.in_order()) {
+            // The upstreams asked this daemon alone for a pause, and it may be gone when that ends.
+            auto& request = requests_.at(number);
+            if (request.answer_begun) {
+                give_up(request, send_fault::not_run, true);
+                continue;
+            }
+            log("request.refused", request, "503 this daemon is stopping");
+            actions_.emplace_back(
+                answer_caller{number, request.may_have_run ? 502 : 503, result_code::leaving,
+                              request.may_have_run ? std::nullopt : std::optional(duration::zero())});
+            finish(request, result_code::leaving);
+        }
+    }
+}
+
+duration request_router::return_time(const routed_request& request)
+{
+    const auto upstreams = directory_.usable(request.service, now_);
+    const auto opening = opening_of(upstreams, {}, pauses_, now_);
+    if (!opening) {
+        return jittered(std::max(usual_return, request.room_in));
+    }
+    const auto interval =
+        request.is_generation()
+            ? placement_.speed(request.service).reading(request.prompt.own_tokens()) / opening->upstreams
+            : service_time(request.service) / std::max(1U, opening->slots);
+    return openings_[request.service].next_return(
+        opening->at, interval * static_cast<duration::rep>(daemons()), random_, now_);
+}
+
+duration request_router::service_time(const std::string& service) const
+{
+    const auto known = service_times_.find(service);
+    return known == service_times_.end() ? first_service_time : known->second;
+}
+
+} // namespace clementinegap
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -42,6 +42,8 @@
     duration room_in{0};            ///< Expected wait at the upstream chosen last.
     std::uint32_t unreachable{0};
     bool may_have_run{false};
+    bool on_trial{false}; ///< The current send tries out an upstream after a pause.
+    bool waiting{false};  ///< For an upstream of its service to open.
 
     bool is_generation() const { return prompt.is_generation(); }
 };
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -44,6 +44,17 @@
     bool answer_begun{false}; ///< The caller has the head of the answer.
 };
 
+/// What an upstream said of itself in the head of an answer, besides the answer.
+struct upstream_notice {
+    std::string upstream;
+    std::optional<std::int64_t> incarnation; ///< Of the process that was asked; nothing: the listed one.
+    bool leaving{false};
+    std::optional<duration> pause; ///< It wants nothing from this daemon for so long.
+    std::string unreadable;        ///< A header that makes no sense, for the log.
+
+    bool says_something() const { return leaving || pause.has_value() || !unreadable.empty(); }
+};
+
 /// The first event of a stream came.
 struct first_event_seen {
     request_number request{0};
@@ -96,10 +107,10 @@
     time_point last_end{};
 };
 
-using router_event = std::variant<request_arrived, send_failed, first_event_seen, request_completed,
-                                  caller_left, configuration_received, upstream_listed, upstream_removed,
-                                  directory_listed, directory_unreachable, directory_reachable, load_reported,
-                                  fleet_size_known, drain_begun, tick>;
+using router_event = std::variant<request_arrived, send_failed, upstream_notice, first_event_seen,
+                                  request_completed, caller_left, configuration_received, upstream_listed,
+                                  upstream_removed, directory_listed, directory_unreachable,
+                                  directory_reachable, load_reported, fleet_size_known, drain_begun, tick>;
 
 /// Send the request to this upstream, in place of an earlier send of it.
 struct send_request {
@@ -138,6 +149,11 @@
     request_number request{0};
 };
 
+/// Take back the sends to this upstream that have no connection yet; each is reported as `recalled`.
+struct recall_unsent {
+    std::string upstream;
+};
+
 /// A line for the log: a decision, what decided it and the outcome.
 struct log_decision {
     std::string event;
@@ -163,6 +179,6 @@
 };
 
 using router_action = std::variant<send_request, answer_caller, pass_failure, cut_caller, stop_send,
-                                   log_decision, measure_request, spread_item>;
+                                   recall_unsent, log_decision, measure_request, spread_item>;
 
 } // namespace clementinegap
--- a/routing/send_fault.cpp
+++ b/routing/send_fault.cpp
@@ -5,7 +5,7 @@
 bool certainly_not_run(send_fault fault)
 {
     return fault == send_fault::unreachable || fault == send_fault::not_run ||
-           fault == send_fault::wrong_instance;
+           fault == send_fault::wrong_instance || fault == send_fault::recalled;
 }
 
 std::string_view to_string(send_fault fault)
@@ -21,6 +21,8 @@
         return "lost";
     case send_fault::failed_answer:
         return "failed_answer";
+    case send_fault::recalled:
+        return "recalled";
     case send_fault::bad_answer:
         return "bad_answer";
     }
--- a/routing/send_fault.h
+++ b/routing/send_fault.h
@@ -13,6 +13,7 @@
     lost,           ///< The connection ended before the answer was complete.
     failed_answer,  ///< A complete failure answer of the upstream, held back so far.
     bad_answer,     ///< Bytes that are no answer to this request.
+    recalled,       ///< Taken back before a connection was made; nothing of the request was sent.
 };
 
 /// Whether the request certainly did not run and will not.
--- a/routing/send_order.cpp
+++ b/routing/send_order.cpp
@@ -43,4 +43,19 @@
     return "age_ms " + std::to_string(age) + " first_ms " + first;
 }
 
+measure_request measure_of(const routed_request& request, result_code code, time_point now)
+{
+    measure_request measure;
+    measure.route = request.way->name;
+    measure.code = code;
+    measure.urgency = request.urgency;
+    measure.total = now - request.arrived;
+    measure.first_event = request.way->is_stream
+                              ? request.sent_at - request.arrived + request.first_event_after
+                              : measure.total;
+    measure.on_time = code == result_code::ok && measure.first_event <= request.way->objective;
+    measure.sends = request.sends;
+    return measure;
+}
+
 } // namespace clementinegap
--- a/routing/send_order.h
+++ b/routing/send_order.h
@@ -16,4 +16,7 @@
 /// How long the request has been here, and when its answer began, for the log.
 std::string describe_wait(const routed_request& request, time_point now);
 
+/// What is counted of a request that is over.
+measure_request measure_of(const routed_request& request, result_code code, time_point now);
+
 } // namespace clementinegap
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -19,7 +19,8 @@
 
 bool is_excluded(const upstream_record& upstream, const choice_view& view)
 {
-    return std::find(view.excluded.begin(), view.excluded.end(), upstream.id) != view.excluded.end();
+    return std::find(view.excluded.begin(), view.excluded.end(), upstream.id) != view.excluded.end() ||
+           (view.pauses != nullptr && view.pauses->closed(upstream.id, view.now));
 }
 
 /// Calls `visit` for each upstream that may be used; for those to be avoided only when there is no other.
@@ -130,6 +131,7 @@
     offer.cost = wait + (is_owner && !supply.copies ? duration::zero() : supply.cost) +
                  weights.cost_per_stream * load.in_flight + weights.full_engine_cost * beyond_slots +
                  (is_near ? duration::zero() : weights.further_engine_cost) +
+                 (load.pauses == 0 ? duration::zero() : weights.paused_elsewhere_cost) +
                  disturbance(load, to_read, view, weights) +
                  scaled(cost_of_failure, view.health.failure_share(engine->id, view.now));
     return offer;
@@ -176,7 +178,8 @@
         const double slots = std::max(each->slots, 1U);
         const double in_flight = view.load.at(each->id).in_flight;
         const bool near = each->zone == view.zone;
-        const double cost = (in_flight + (near ? 0 : zone_preference_requests)) / slots +
+        const double paused_elsewhere = view.load.at(each->id).pauses == 0 ? 0 : 1;
+        const double cost = (in_flight + (near ? 0 : zone_preference_requests)) / slots + paused_elsewhere +
                             view.health.failure_share(each->id, view.now);
         if (cost < best_cost) {
             best_cost = cost;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -7,6 +7,7 @@
 #include "routing/prompt.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/upstream_health.h"
+#include "routing/upstream_pauses.h"
 
 #include <span>
 #include <string>
@@ -24,6 +25,7 @@
     time_point now;
     bool short_gap{false}; ///< The request itself is of the kind that tolerates the shortest gaps.
     engine_speed speed{};  ///< Of the engines that are chosen from.
+    const upstream_pauses* pauses{nullptr}; ///< nullptr: no upstream has asked for one.
 };
 
 /// An upstream for a request, with what is expected there.
--- a/routing/upstream_directory.cpp
+++ b/routing/upstream_directory.cpp
@@ -8,6 +8,7 @@
 {
     auto& entry = upstreams_[record.id];
     entry.drop_at = never;
+    departures_.listed(record.id, record.incarnation);
     if (entry.record && *entry.record == record) {
         return false;
     }
@@ -21,6 +22,7 @@
     if (found == upstreams_.end()) {
         return;
     }
+    departures_.unlisted(id, now);
     if (!in_doubt(now)) {
         upstreams_.erase(found);
         return;
@@ -51,16 +53,24 @@
     doubt_ends_ = now + lapse_grace;
 }
 
+bool upstream_directory::departing(const departure& value, time_point now)
+{
+    const auto listed = find(value.upstream);
+    return departures_.add(value, listed != nullptr && listed->incarnation == value.incarnation, now);
+}
+
 void upstream_directory::expire(time_point now)
 {
     std::erase_if(upstreams_, [&](const auto& each) { return each.second.drop_at <= now; });
+    departures_.expire(now);
 }
 
 std::vector<upstream_ptr> upstream_directory::usable(std::string_view service, time_point now) const
 {
     std::vector<upstream_ptr> result;
     for (const auto& [id, entry] : upstreams_) {
-        if (!entry.record->leaving && entry.drop_at > now && entry.record->service == service) {
+        const bool leaves = entry.record->leaving || is_departing(*entry.record);
+        if (!leaves && entry.drop_at > now && entry.record->service == service) {
             result.push_back(entry.record);
         }
     }
--- a/routing/upstream_directory.h
+++ b/routing/upstream_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/departures.h"
 #include "routing/upstream_record.h"
 
 #include <map>
@@ -30,23 +31,32 @@
     /// The directory could not be read; what is erased from now until shortly after its return is in doubt.
     void directory_lost() { lost_ = true; }
     void directory_returned(time_point now);
+    /// An upstream told this daemon or another that it is leaving. Returns whether it is news.
+    bool departing(const departure& value, time_point now);
+    bool is_departing(const upstream_record& upstream) const
+    {
+        return departures_.contains(upstream.id, upstream.incarnation);
+    }
+    /// For the reports to other daemons.
+    std::vector<departure> departing_listed() const { return departures_.of_listed(); }
     /// Drops entries in doubt whose grace has ended.
     void expire(time_point now);
 
-    /// Upstreams of `service` that are not leaving, ordered by id.
+    /// Upstreams of `service` that are not leaving by their entry or their own word, ordered by id.
     std::vector<upstream_ptr> usable(std::string_view service, time_point now) const;
     /// nullptr for an id that is not listed.
     upstream_ptr find(std::string_view id) const;
     std::size_t size() const { return upstreams_.size(); }
 
 private:
-    struct listed {
+    struct listing {
         upstream_ptr record;
         time_point drop_at{never};
     };
     bool in_doubt(time_point now) const { return lost_ || now < doubt_ends_; }
 
-    std::map<std::string, listed, std::less<>> upstreams_;
+    std::map<std::string, listing, std::less<>> upstreams_;
+    departures departures_;
     bool lost_{false};
     time_point doubt_ends_{};
 };
--- a/routing/upstream_health.cpp
+++ b/routing/upstream_health.cpp
@@ -55,6 +55,8 @@
         unreachable(upstream, now);
         unreachable(upstream, now);
         return;
+    case send_fault::recalled:
+        return;
     case send_fault::not_run:
     case send_fault::lost:
     case send_fault::failed_answer:
--- /dev/null
+++ b/routing/upstream_pauses.cpp
@@ -0,0 +1,83 @@
+#include "routing/upstream_pauses.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+
+duration upstream_pauses::asked(std::string_view upstream, duration span, time_point now)
+{
+    const auto kept = std::min(span, longest_);
+    if (kept <= duration::zero()) {
+        return duration::zero();
+    }
+    auto& entry = states_[std::string(upstream)];
+    // An answer that overtook another must not shorten its pause.
+    entry.ends = std::max(entry.ends, now + kept);
+    entry.allowed = 1;
+    entry.last_use = entry.ends;
+    return kept;
+}
+
+bool upstream_pauses::closed(std::string_view upstream, time_point now) const
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() &&
+           (now < found->second.ends || found->second.trials >= found->second.allowed);
+}
+
+std::optional<time_point> upstream_pauses::opens_at(std::string_view upstream, time_point now) const
+{
+    if (!closed(upstream, now)) {
+        return std::nullopt;
+    }
+    const auto& entry = states_.find(upstream)->second;
+    return entry.trials >= entry.allowed ? std::max(entry.ends, now + trial_patience) : entry.ends;
+}
+
+bool upstream_pauses::sent(std::string_view upstream)
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end()) {
+        return false;
+    }
+    ++found->second.trials;
+    return true;
+}
+
+void upstream_pauses::trial_ended(std::string_view upstream, trial_end how, time_point now)
+{
+    const auto found = states_.find(upstream);
+    if (found == states_.end()) {
+        return;
+    }
+    auto& entry = found->second;
+    entry.trials -= std::min(entry.trials, 1U);
+    entry.last_use = std::max(entry.last_use, now);
+    if (now < entry.ends || how == trial_end::unknown) {
+        return;
+    }
+    entry.allowed = how == trial_end::answered ? entry.allowed * 2 : 1;
+    if (entry.allowed >= open_from) {
+        states_.erase(found);
+    }
+}
+
+std::vector<std::string> upstream_pauses::paused(time_point now) const
+{
+    std::vector<std::string> result;
+    for (const auto& [upstream, entry] : states_) {
+        if (now < entry.ends) {
+            result.push_back(upstream);
+        }
+    }
+    return result;
+}
+
+void upstream_pauses::expire(time_point now)
+{
+    std::erase_if(states_, [&](const auto& each) {
+        return each.second.trials == 0 && now - each.second.last_use > calm_after;
+    });
+}
+
+} // namespace clementinegap
--- a/stand_ins/program/routed_stand_in.cpp
+++ b/stand_ins/program/routed_stand_in.cpp
@@ -15,8 +15,11 @@
 constexpr int exit_usage = 2;
 constexpr int exit_cannot_listen = 3;
 constexpr duration step = milliseconds(5); ///< Fineness of an upstream's pace.
+/// For so long SIGUSR2 makes an upstream refuse and ask for a pause; some answers' time.
+constexpr duration refusal_span = milliseconds(1500);
 
-/// Runs an upstream that prints each request it runs, one a line.
+/// Runs an upstream that prints each request it runs or refuses, one a line. SIGUSR1: it says from now on
+/// that it is leaving.
 int run_upstream(std::uint16_t port, duration pace)
 {
     event_loop loop;
@@ -26,6 +29,16 @@
         std::printf("%s %s\n", id.c_str(), path.c_str());
         std::fflush(stdout);
     });
+    upstream.on_refusal([](const std::string& id, duration pause) {
+        std::printf("refused %s %lld\n", id.c_str(), static_cast<long long>(to_milliseconds(pause)));
+        std::fflush(stdout);
+    });
+    loop.on_signal(SIGUSR1, [&] {
+        upstream.begin_to_leave();
+        std::printf("leaving\n");
+        std::fflush(stdout);
+    });
+    loop.on_signal(SIGUSR2, [&] { upstream.refuse_until(event_loop::now() + refusal_span); });
     if (!upstream.listen(port)) {
         return exit_cannot_listen;
     }
--- a/stand_ins/routed_upstream.cpp
+++ b/stand_ins/routed_upstream.cpp
@@ -7,11 +7,6 @@
 
 constexpr std::string_view body_text = "the upstream's own bytes";
 
-std::string head_of(int status, const std::string& id, const std::string& more)
-{
-    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + more + "\r\n";
-}
-
 std::string sealed(const std::string& more = {})
 {
     return "X-Response-Seal: s." + std::to_string(body_text.size()) + "\r\n" + more;
@@ -22,14 +17,20 @@
     return "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
 }
 
-std::string whole(int status, const std::string& id, const std::string& more)
+} // namespace
+
+std::string routed_upstream::head_of(int status, const std::string& id, const std::string& more) const
+{
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + notices_ + more +
+           "\r\n";
+}
+
+std::string routed_upstream::whole(int status, const std::string& id, const std::string& more) const
 {
     return head_of(status, id, more + "Content-Length: " + std::to_string(body_text.size()) + "\r\n") +
            std::string(body_text);
 }
 
-} // namespace
-
 routed_upstream::routed_upstream(event_loop& loop)
     : loop_(loop), listener_(loop, [this](uv_stream_t* listening) {
           auto connection = std::make_unique<http_server_connection>(loop_, *this, server_limits{});
@@ -47,6 +48,15 @@
     const auto* resume = head.find("Last-Event-Id");
     const int first_event = resume == nullptr ? 1 : std::stoi(*resume) + 1;
     const bool is_stream = head.find("X-Token-Counts") != nullptr;
+    if (event_loop::now() < refuse_until_) {
+        const auto left = refuse_until_ - event_loop::now();
+        refusal_(id, left);
+        from.write(whole(503, id,
+                         "X-Not-Executed: 1\r\nRetry-After: " +
+                             std::to_string(std::chrono::duration<double>(left).count()) + "\r\n"));
+        from.end_answer(false);
+        return;
+    }
     report_(id, head.target);
     if (pace_ > duration::zero()) {
         if (is_stream) {
@@ -113,6 +123,10 @@
     case behaviour::hang:
         hanging_.push_back(&from);
         return;
+    case behaviour::ask_for_pause:
+        from.write(whole(503, id, "X-Not-Executed: 1\r\nRetry-After: " + pause_ + "\r\n"));
+        from.end_answer(false);
+        return;
     case behaviour::stream:
         stream_from(from, id, first_event, false);
         return;
--- a/stand_ins/routed_upstream.h
+++ b/stand_ins/routed_upstream.h
@@ -33,6 +33,7 @@
         hang,            ///< No answer.
         stream,          ///< A whole event stream.
         stream_broken,   ///< A stream that ends in the middle of its third event.
+        ask_for_pause,   ///< 503 that it did not run, with the pause that was set.
     };
 
     struct seen_request {
@@ -51,6 +52,20 @@
     {
         report_ = std::move(report);
     }
+    /// Called with the id of each request that is refused with a pause, and its length.
+    void on_refusal(std::function<void(const std::string& id, duration pause)> report)
+    {
+        refusal_ = std::move(report);
+    }
+    /// Says in every answer that it is leaving.
+    void begin_to_leave() { notices_ += "Server-Leaving: 1\r\n"; }
+    /// Adds a header to every answer.
+    void add_header(const std::string& line) { notices_ += line + "\r\n"; }
+    /// The value of `Retry-After` of `ask_for_pause`.
+    void set_pause(std::string value) { pause_ = std::move(value); }
+    /// Until then all requests are refused, each with a pause to that time.
+    void refuse_until(time_point end) { refuse_until_ = end; }
+    bool leaving() const { return !notices_.empty(); }
     /// The behaviours of the next requests; `answer`, or `stream` for streams, when none is left.
     void script(std::deque<behaviour> next) { script_ = std::move(next); }
     const std::vector<seen_request>& seen() const { return seen_; }
@@ -67,7 +82,7 @@
     std::string answer_fault(int status, std::string_view text) override;
     void on_gone(http_server_connection& from) override;
     void on_written(http_server_connection&) override {}
-    static void stream_from(http_server_connection& to, const std::string& id, int first_event, bool broken);
+    void stream_from(http_server_connection& to, const std::string& id, int first_event, bool broken);
 
     /// A paced answer on its way.
     struct paced_answer {
@@ -79,10 +94,17 @@
 
     event_loop& loop_;
     tcp_listener listener_;
+    std::string head_of(int status, const std::string& id, const std::string& more) const;
+    std::string whole(int status, const std::string& id, const std::string& more) const;
+
     duration pace_{0};
+    std::string notices_; ///< Header lines of every answer.
+    std::string pause_{"1"};
+    time_point refuse_until_{};
     std::vector<paced_answer> paced_;
     std::function<void(const std::string&, const std::string&)> report_{
         [](const std::string&, const std::string&) {}};
+    std::function<void(const std::string&, duration)> refusal_{[](const std::string&, duration) {}};
     std::list<std::unique_ptr<http_server_connection>> connections_;
     std::vector<http_server_connection*> hanging_;
     std::deque<behaviour> script_;
--- /dev/null
+++ b/tests/platform/test_notice_headers.cpp
@@ -0,0 +1,139 @@
+#include "platform/notice_headers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+
+using namespace clementinegap;
+
+namespace {
+
+upstream_record asked()
+{
+    upstream_record record;
+    record.id = "u1";
+    record.incarnation = 77;
+    return record;
+}
+
+upstream_notice notice_of(int status, std::vector<http_header> headers)
+{
+    http_head head;
+    head.status = status;
+    head.headers = std::move(headers);
+    return decode_notice(head, asked());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_word_of_an_upstream_that_it_leaves)
+
+BOOST_AUTO_TEST_CASE(is_read_from_any_answer)
+{
+    for (const int status : {200, 206, 404, 500, 503, 504}) {
+        const auto notice = notice_of(status, {{"server-leaving", "1"}});
+        BOOST_TEST(notice.leaving);
+        BOOST_TEST(notice.upstream == "u1");
+        BOOST_TEST((notice.incarnation == 77));
+    }
+    BOOST_TEST(!notice_of(200, {}).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(counts_when_it_is_repeated_or_contradicted)
+{
+    BOOST_TEST(notice_of(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).leaving);
+    BOOST_TEST(notice_of(200, {{"Server-Leaving", "1, 1"}}).leaving);
+    BOOST_TEST(notice_of(200, {{"Server-Leaving", "1"}, {"Server-Leaving", "x"}}).leaving);
+    const auto no = notice_of(200, {{"Server-Leaving", "0"}});
+    BOOST_TEST(!no.leaving);
+    BOOST_TEST(no.unreadable.empty());
+}
+
+BOOST_AUTO_TEST_CASE(means_nothing_when_it_is_garbled)
+{
+    for (const auto* value : {"", "yes", "11", "1x", "\x01\x02", "true"}) {
+        const auto notice = notice_of(200, {{"Server-Leaving", value}});
+        BOOST_TEST(!notice.leaving);
+        BOOST_TEST(!notice.unreadable.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_of_another_upstream_when_that_has_the_address)
+{
+    BOOST_TEST(!notice_of(421, {{"Server-Leaving", "1"}}).leaving);
+    const auto named = notice_of(421, {{"Server-Leaving", "1"}, {"X-Instance-Id", "u9"}});
+    BOOST_TEST(named.leaving);
+    BOOST_TEST(named.upstream == "u9");
+    BOOST_TEST(!named.incarnation.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_pause_that_an_upstream_asks_for)
+
+BOOST_AUTO_TEST_CASE(is_whole_or_fractional_seconds)
+{
+    BOOST_TEST((notice_of(503, {{"Retry-After", "2"}}).pause == seconds(2)));
+    BOOST_TEST((notice_of(503, {{"retry-after", "0.25"}}).pause == milliseconds(250)));
+    BOOST_TEST((notice_of(429, {{"Retry-After", "1"}}).pause == seconds(1)));
+    BOOST_TEST((notice_of(503, {{"Retry-After", "0"}}).pause == duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(is_told_with_a_refusal_only)
+{
+    for (const int status : {200, 301, 404, 500, 504}) {
+        BOOST_TEST(!notice_of(status, {{"Retry-After", "2"}}).pause.has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_the_longest_of_several)
+{
+    BOOST_TEST((notice_of(503, {{"Retry-After", "1"}, {"Retry-After", "3"}}).pause == seconds(3)));
+    BOOST_TEST((notice_of(503, {{"Retry-After", "4, 2"}}).pause == seconds(4)));
+    const auto odd = notice_of(503, {{"Retry-After", "soon"}, {"Retry-After", "3"}});
+    BOOST_TEST((odd.pause == seconds(3)));
+    BOOST_TEST(odd.unreadable == "Retry-After soon");
+}
+
+BOOST_AUTO_TEST_CASE(is_bounded_and_never_negative)
+{
+    for (const auto* value : {"1e300", "99999999999999999999", "86401"}) {
+        BOOST_TEST((notice_of(503, {{"Retry-After", value}}).pause == longest_pause_text));
+    }
+    for (const auto* value :
+         {"-1", "-0.001", "nan", "inf", "", "2s", "0x10", "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+        const auto notice = notice_of(503, {{"Retry-After", value}});
+        BOOST_TEST(!notice.pause.has_value(), value);
+        BOOST_TEST(!notice.unreadable.empty(), value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_bounds_whatever_is_sent)
+{
+    std::minstd_rand random(20261204);
+    const std::string letters = "0123456789.,eE+-x \t\x01nif1";
+    int read = 0;
+    int unread = 0;
+    for (int i = 0; i < 50000; ++i) {
+        std::string value;
+        for (auto length = random() % 12; length > 0; --length) {
+            value.push_back(letters[random() % letters.size()]);
+        }
+        const auto notice = notice_of(503, {{"Retry-After", value}, {"Server-Leaving", value}});
+        if (notice.pause) {
+            ++read;
+            BOOST_REQUIRE((*notice.pause >= duration::zero()));
+            BOOST_REQUIRE((*notice.pause <= longest_pause_text));
+        }
+        unread += notice.unreadable.empty() ? 0 : 1;
+        BOOST_REQUIRE(notice.unreadable.size() < 100U);
+        for (const char each : notice.unreadable) {
+            BOOST_REQUIRE((each >= ' ' && each <= '~'));
+        }
+    }
+    BOOST_TEST(read > 0);
+    BOOST_TEST(unread > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/router/test_upstream_notices.cpp
@@ -0,0 +1,140 @@
+#include "router/gateway_fixture.h"
+#include "router/report_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinegap;
+using clementinegap::testing::gateway_fixture;
+using clementinegap::testing::test_caller;
+using behaviour = routed_upstream::behaviour;
+
+namespace {
+
+const std::string generation = "X-Model: m\r\nX-Token-Counts: 100,15\r\nX-Prompt-Prefix: a:60,b:40\r\n";
+
+/// The two upstreams, first the one that got the only request so far.
+struct used_first : gateway_fixture {
+    routed_upstream& first() { return upstream.seen().empty() ? other : upstream; }
+    routed_upstream& second() { return upstream.seen().empty() ? upstream : other; }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_entry_gateway_before_upstreams_that_speak_of_themselves)
+
+BOOST_FIXTURE_TEST_SUITE(that_they_leave, used_first)
+
+BOOST_AUTO_TEST_CASE(sends_them_nothing_more)
+{
+    upstream.begin_to_leave();
+    other.begin_to_leave();
+    BOOST_TEST(call("/book/x").status == 200);
+    auto& gone = first();
+    BOOST_TEST(call("/book/x").status == 200);
+    BOOST_TEST(gone.seen().size() == 1U);
+    // Now both have said so.
+    const auto refused = call("/book/x");
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.head.find("Retry-After") != nullptr);
+    BOOST_TEST(seen() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(lets_a_stream_that_runs_there_go_on)
+{
+    upstream.begin_to_leave();
+    other.begin_to_leave();
+    const auto got = call("/guide/x", generation);
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.body.find("piece 5") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(believes_it_of_failures_and_refusals_too)
+{
+    for (auto* each : {&upstream, &other}) {
+        each->begin_to_leave();
+        each->script({behaviour::refuse, behaviour::fail});
+    }
+    call("/book/x");
+    call("/book/x");
+    BOOST_TEST(seen() == 2U);
+    call("/book/x");
+    BOOST_TEST(seen() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_believe_it_of_another_process_at_the_address)
+{
+    for (auto* each : {&upstream, &other}) {
+        each->begin_to_leave();
+        each->script({behaviour::other_instance});
+    }
+    call("/look/x");
+    const auto before = seen();
+    // Whoever answered is not who was asked: those are avoided for a moment, but not taken to be leaving.
+    BOOST_TEST(router.report(event_loop::now()).departures.empty());
+    BOOST_TEST(before == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(that_they_want_a_pause, used_first)
+
+BOOST_AUTO_TEST_CASE(sends_nothing_until_its_end_and_lets_requests_wait)
+{
+    for (auto* each : {&upstream, &other}) {
+        each->set_pause("0.4");
+        each->script({behaviour::ask_for_pause});
+    }
+    // Refused by one, sent to the other, refused there: told when to come back.
+    const auto refused = call("/look/x");
+    BOOST_TEST(refused.status == 503);
+    BOOST_REQUIRE(refused.head.find("Retry-After") != nullptr);
+    BOOST_TEST(std::stod(*refused.head.find("Retry-After")) > 0.3);
+    BOOST_TEST(std::stod(*refused.head.find("Retry-After")) < 1.0);
+    BOOST_TEST(seen() == 2U);
+    const auto begun = event_loop::now();
+    const auto served = call("/book/x");
+    BOOST_TEST(served.status == 200);
+    BOOST_TEST(to_milliseconds(event_loop::now() - begun) >= 350);
+    BOOST_TEST(seen() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_back_a_send_whose_connection_is_being_made)
+{
+    test_caller caller(loop, gateway->port());
+    caller.send(request("/book/x", "early", "", "b"));
+    BOOST_REQUIRE(run_until([&] { return router.open_requests() == 1; }));
+    // The sockets are connected, but no turn of the loop has told so.
+    gateway->post(upstream_notice{"u1", 1, false, seconds(30), ""});
+    gateway->post(upstream_notice{"u2", 1, false, milliseconds(300), ""});
+    BOOST_TEST(run_until([&] { return caller.result().ended; }));
+    BOOST_TEST(caller.result().status == 200);
+    BOOST_TEST(upstream.seen().empty());
+    BOOST_TEST(other.seen().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ignores_a_time_that_makes_no_sense)
+{
+    for (auto* each : {&upstream, &other}) {
+        each->set_pause("soon");
+        each->script({behaviour::ask_for_pause});
+    }
+    call("/look/x");
+    BOOST_TEST(call("/book/x").status == 200);
+    BOOST_TEST(counters.text().find("kind=\"upstream.notice_unreadable\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(carries_notices_in_its_reports)
+{
+    load_report report;
+    report.daemon = "entry-1";
+    report.loads = {{"u1", {1, 2, 3, 4}}};
+    report.departures = {{"u2", 1234567890123}};
+    const auto decoded = decode_report(encode_report(report, {}));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded.value().report.loads == report.loads));
+    BOOST_TEST((decoded.value().report.departures == report.departures));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/random_router_run.cpp
+++ b/tests/routing/random_router_run.cpp
@@ -123,14 +123,14 @@
         give(first_event_seen{number});
         return;
     }
-    auto fault = static_cast<send_fault>(pick(6));
+    auto fault = static_cast<send_fault>(pick(7));
     if (view.answer_begun) {
         fault = send_fault::lost;
     }
     const bool certain = fault == send_fault::unreachable || fault == send_fault::not_run ||
-                         fault == send_fault::wrong_instance;
+                         fault == send_fault::wrong_instance || fault == send_fault::recalled;
     view.may_have_run = view.may_have_run || !certain;
-    view.reached -= fault == send_fault::unreachable ? 1 : 0;
+    view.reached -= fault == send_fault::unreachable || fault == send_fault::recalled ? 1 : 0;
     view.being_sent = false;
     give(send_failed{number, fault, view.answer_begun});
 }
--- /dev/null
+++ b/tests/routing/test_departures.cpp
@@ -0,0 +1,244 @@
+#include "routing/departures.h"
+#include "routing/router_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace clementinegap;
+using namespace clementinegap::testing;
+
+namespace {
+
+/// A router whose plain upstream `p1` has said in an answer that it is leaving.
+struct told_of_a_departure : router_fixture {
+    told_of_a_departure() { give(upstream_notice{"p1", 1, true, std::nullopt, ""}); }
+
+    /// Where requests go, over many of them.
+    std::set<std::string> used(int requests = 20)
+    {
+        std::set<std::string> result;
+        for (int i = 0; i < requests; ++i) {
+            const auto number = arrive("/look/x");
+            result.insert(sent_to());
+            give(request_completed{number, false});
+        }
+        return result;
+    }
+};
+
+const std::set<std::string> other_only{"p2"};
+const std::set<std::string> nobody{""};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(departures_that_upstreams_tell)
+
+BOOST_AUTO_TEST_SUITE(as_a_list)
+
+BOOST_AUTO_TEST_CASE(hold_for_one_run_of_the_upstream)
+{
+    departures known;
+    BOOST_TEST(known.add({"u", 7}, true, start));
+    BOOST_TEST(!known.add({"u", 7}, true, start));
+    BOOST_TEST(known.contains("u", 7));
+    BOOST_TEST(!known.contains("u", 8));
+    known.listed("u", 7);
+    BOOST_TEST(known.contains("u", 7));
+    known.listed("u", 8);
+    BOOST_TEST(!known.contains("u", 7));
+    BOOST_TEST(known.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(survive_a_late_word_of_an_earlier_run)
+{
+    departures known;
+    known.add({"u", 8}, true, start);
+    known.add({"u", 7}, false, start);
+    BOOST_TEST(known.contains("u", 8));
+    BOOST_TEST(known.of_listed().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_remembered_while_an_entry_may_have_lapsed_by_mistake)
+{
+    departures known;
+    known.add({"u", 7}, true, start);
+    known.unlisted("u", start);
+    known.expire(start + seconds(100));
+    BOOST_TEST(known.contains("u", 7));
+    known.listed("u", 7);
+    known.expire(start + seconds(1000));
+    BOOST_TEST(known.contains("u", 7));
+    known.unlisted("u", start + seconds(1000));
+    known.expire(start + seconds(1121));
+    BOOST_TEST(!known.contains("u", 7));
+}
+
+BOOST_AUTO_TEST_CASE(are_bounded_whatever_others_report)
+{
+    departures known;
+    for (int i = 0; i < 10000; ++i) {
+        known.add({"u" + std::to_string(i), 1}, false, start);
+    }
+    BOOST_TEST(known.size() == 4096U);
+    known.expire(start + seconds(121));
+    BOOST_TEST(known.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(in_an_answer, told_of_a_departure)
+
+BOOST_AUTO_TEST_CASE(end_all_new_work_whatever_the_directory_says)
+{
+    BOOST_TEST((used() == other_only));
+    give(upstream_listed{upstream("p1", "app")});
+    BOOST_TEST((used() == other_only));
+    auto changed = upstream("p1", "app");
+    changed.slots = 7;
+    give(upstream_listed{changed});
+    BOOST_TEST((used() == other_only));
+}
+
+BOOST_AUTO_TEST_CASE(hold_while_the_entry_lapses_and_returns)
+{
+    give(directory_unreachable{});
+    give(upstream_removed{"p1"});
+    give(directory_reachable{});
+    give(upstream_listed{upstream("p1", "app")});
+    BOOST_TEST((used() == other_only));
+    give(upstream_removed{"p1"});
+    pass(seconds(3));
+    give(upstream_listed{upstream("p1", "app")});
+    BOOST_TEST((used() == other_only));
+}
+
+BOOST_AUTO_TEST_CASE(end_with_a_new_start)
+{
+    auto again = upstream("p1", "app");
+    again.incarnation = 2;
+    give(upstream_listed{again});
+    BOOST_TEST(used().contains("p1"));
+    // A late answer of the run before says nothing of the new one.
+    give(upstream_notice{"p1", 1, true, std::nullopt, ""});
+    BOOST_TEST(used().contains("p1"));
+}
+
+BOOST_AUTO_TEST_CASE(leave_what_runs_there_undisturbed)
+{
+    const auto running = arrive("/book/x");
+    const auto at = sent_to();
+    BOOST_TEST(at == "p2");
+    give(upstream_notice{at, 1, true, std::nullopt, ""});
+    BOOST_TEST(all<stop_send>().empty());
+    BOOST_TEST(all<answer_caller>().empty());
+    give(request_completed{running, false});
+    BOOST_TEST((one<measure_request>()->code == result_code::ok));
+}
+
+BOOST_AUTO_TEST_CASE(take_back_what_has_no_connection_yet)
+{
+    const auto request = arrive("/book/x");
+    give(upstream_listed{upstream("p3", "app")});
+    give(upstream_notice{"p2", 1, true, std::nullopt, ""});
+    BOOST_TEST(one<recall_unsent>()->upstream == "p2");
+    // A booking too may go elsewhere: nothing of it was sent.
+    give(send_failed{request, send_fault::recalled, false});
+    BOOST_TEST(sent_to() == "p3");
+}
+
+BOOST_AUTO_TEST_CASE(send_a_refused_request_elsewhere)
+{
+    give(upstream_listed{upstream("p3", "app")});
+    const auto request = arrive("/look/x");
+    const auto first = sent_to();
+    give(upstream_notice{first, 1, true, std::nullopt, ""});
+    give(send_failed{request, send_fault::not_run, false});
+    BOOST_TEST(sent_to() != first);
+    BOOST_TEST(sent_to() != "p1");
+    BOOST_TEST(sent_to() != "");
+}
+
+BOOST_AUTO_TEST_CASE(of_all_upstreams_are_told_to_callers_at_once)
+{
+    give(upstream_notice{"p2", 1, true, std::nullopt, ""});
+    BOOST_TEST((used(3) == nobody));
+    arrive("/look/x");
+    BOOST_TEST(one<answer_caller>()->status == 503);
+    BOOST_TEST(one<answer_caller>()->retry_after.has_value());
+    // The release that replaces them is taken up as soon as it is listed.
+    give(upstream_listed{upstream("p9", "app")});
+    BOOST_TEST((used() == std::set<std::string>{"p9"}));
+}
+
+BOOST_AUTO_TEST_CASE(of_a_named_upstream_count_for_its_listed_run)
+{
+    give(upstream_notice{"p2", std::nullopt, true, std::nullopt, ""});
+    BOOST_TEST((used(3) == nobody));
+    give(upstream_notice{"unknown", std::nullopt, true, std::nullopt, ""});
+    BOOST_TEST(all<recall_unsent>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(of_an_engine_take_it_out_of_its_section)
+{
+    for (int i = 1; i <= 11; ++i) {
+        give(upstream_notice{"e" + std::to_string(i), 1, true, std::nullopt, ""});
+    }
+    for (std::uint64_t session = 0; session < 30; ++session) {
+        arrive_generation("/ask/x", session, 500);
+        BOOST_TEST(sent_to() == "e12");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(among_daemons, told_of_a_departure)
+
+BOOST_AUTO_TEST_CASE(are_heard_by_the_others)
+{
+    const auto report = router.report(now);
+    BOOST_REQUIRE(report.departures.size() == 1U);
+    router_fixture second;
+    auto heard = report;
+    heard.daemon = "entry-2";
+    second.give(load_reported{heard, {}});
+    BOOST_TEST(second.one<recall_unsent>()->upstream == "p1");
+    for (int i = 0; i < 10; ++i) {
+        second.arrive("/look/x");
+        BOOST_TEST(second.sent_to() == "p2");
+    }
+    // The second tells on, so that a restarted daemon hears of it from any of them.
+    BOOST_TEST(second.router.report(second.now).departures.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(reach_a_restarted_daemon_before_the_directory_does)
+{
+    auto report = router.report(now);
+    report.daemon = "entry-2";
+    request_router fresh({"entry-1", "z1", 9, {}});
+    fresh.on_event(load_reported{report, {}}, now);
+    fresh.on_event(configuration_received{table(1)}, now);
+    directory_listed listing;
+    listing.records = {upstream("p1", "app"), upstream("p2", "app")};
+    fresh.on_event(listing, now);
+    request_arrived event;
+    event.request = 1;
+    event.host = "h";
+    event.path = "/look/x";
+    event.api_key = "key-a";
+    for (const auto& action : fresh.on_event(event, now)) {
+        if (const auto* send = std::get_if<send_request>(&action)) {
+            BOOST_TEST(send->upstream->id == "p2");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(are_told_no_more_once_the_entry_is_gone)
+{
+    give(upstream_removed{"p1"});
+    BOOST_TEST(router.report(now).departures.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
