A relay that refuses is left for the store on a connection of its own

Cause: when a relay answered 503, the reader forgot the relay but kept the connection to it, and sent its next calls, meant for the store, to the relay. Their refusals counted as an outage of the store ('directory.lost'), so the removal that was read 1.8 s later was taken as one in doubt and the upstream was kept for another 2.2 s.

Ruled out: the store (it answered the other entries), its limits (503 after 1 ms; the store takes 4), relays that lag (the removal had been read when the requests were sent).

Change: the connection is dropped with the relay. A read that gave nothing is logged with its reason (rows.read_failed), without which the trace could not tell a relay's refusal from the store's.

Test: failed before (the second call went to the relay and was refused), passes now.

--- a/router/store_link.cpp
+++ b/router/store_link.cpp
@@ -41,7 +41,7 @@
         }
         drop_connection();
         under_way_ = false;
-        call_failed(read_result::failed, now);
+        call_failed(now, "no answer in time");
     }
     if (now < follower_.next_at()) {
         return;
@@ -52,7 +52,7 @@
         const auto& source = relay_ ? *relay_ : store_;
         if (!connection_->connect(source.ip, source.port, store_silence)) {
             connection_.reset();
-            call_failed(read_result::failed, now);
+            call_failed(now, "no connection");
             return;
         }
     }
@@ -83,17 +83,18 @@
     under_way_ = false;
 }
 
-void table_reader::call_failed(read_result result, time_point now)
+void table_reader::call_failed(time_point now, const std::string& why)
 {
     if (relay_) {
         // The store itself may well answer; it is asked before the table counts as out of reach.
         relay_.reset();
-        on_outcome_(false, true);
+        drop_connection();
+        on_outcome_({false, true, why});
         return;
     }
     store_in_doubt_ = true;
-    on_outcome_(false, false);
-    report(follower_.on_no_page(result, now));
+    on_outcome_({false, false, why});
+    report(follower_.on_no_page(read_result::failed, now));
 }
 
 http_client_connection::head_verdict table_reader::on_answer_head(const http_head& head)
@@ -109,7 +110,7 @@
         body_ = {};
         under_way_ = false;
         drop_connection();
-        call_failed(read_result::failed, event_loop::now());
+        call_failed(event_loop::now(), "answer too long");
     }
 }
 
@@ -125,28 +126,30 @@
         return;
     }
     if (status_ != status_ok) {
-        call_failed(read_result::failed, now);
+        call_failed(now, "status " + std::to_string(status_));
         return;
     }
     auto page = decode_table_page(body_);
     body_.clear();
     body_.shrink_to_fit();
     if (!page) {
-        call_failed(read_result::failed, now);
+        call_failed(now, page.error().message);
         return;
     }
     if (!relay_) {
         store_in_doubt_ = false;
     }
-    on_outcome_(true, relay_.has_value());
+    on_outcome_({true, relay_.has_value(), ""});
     report(follower_.on_page(std::move(page.value()), now));
 }
 
-void table_reader::on_exchange_failed(const exchange_failure&)
+void table_reader::on_exchange_failed(const exchange_failure& failure)
 {
     under_way_ = false;
     drop_connection();
-    call_failed(read_result::failed, event_loop::now());
+    call_failed(event_loop::now(), failure.not_http    ? "no HTTP answer"
+                                   : failure.connected ? "connection lost"
+                                                       : "no connection");
 }
 
 void table_reader::drop_connection()
--- a/router/store_link.h
+++ b/router/store_link.h
@@ -18,8 +18,13 @@
 class table_reader final : private http_client_connection::exchange {
 public:
     using callback = std::function<void(table_follower::progress)>;
-    /// Whether the call that ended had an answer, from the store or from a relay.
-    using outcome_callback = std::function<void(bool answered, bool from_relay)>;
+    /// How a call ended.
+    struct outcome {
+        bool answered{false};
+        bool from_relay{false}; ///< It was made to a relay and not to the store.
+        std::string why;        ///< Of a call without a usable answer, for the log.
+    };
+    using outcome_callback = std::function<void(const outcome&)>;
 
     table_reader(event_loop& loop, endpoint store, table_follower follower, callback on_progress,
                  outcome_callback on_outcome);
@@ -48,7 +53,7 @@
     void on_answer_end(bool reusable) override;
     void on_exchange_failed(const exchange_failure& why) override;
     void drop_connection();
-    void call_failed(read_result result, time_point now);
+    void call_failed(time_point now, const std::string& why);
     void report(table_follower::progress progress);
 
     event_loop& loop_;
--- a/router/store_tables.cpp
+++ b/router/store_tables.cpp
@@ -49,7 +49,7 @@
     return {loop, how.store,
             table_follower(table_name(which), how.seed + static_cast<std::uint64_t>(which), pause),
             [this, which](table_follower::progress read) { on_read(which, std::move(read)); },
-            [this, which](bool answered, bool from_relay) { on_outcome(which, answered, from_relay); }};
+            [this, which](const table_reader::outcome& how) { on_outcome(which, how); }};
 }
 
 void store_tables::run(time_point now)
@@ -100,18 +100,20 @@
     on_progress_(which, std::move(progress));
 }
 
-void store_tables::on_outcome(table which, bool answered, bool from_relay)
+void store_tables::on_outcome(table which, const table_reader::outcome& how)
 {
     const auto now = event_loop::now();
-    if (answered) {
-        if (!from_relay) {
+    if (how.answered) {
+        if (!how.from_relay) {
             source_.store_answered(static_cast<std::size_t>(which));
         }
         return;
     }
-    if (from_relay) {
+    log_("rows.read_failed",
+         table_name(which) + " from " + (how.from_relay ? reads_from_ : "store") + ": " + how.why);
+    if (how.from_relay) {
         source_.relay_failed(reads_from_, now);
-    } else if (!from_relay) {
+    } else {
         source_.store_failed(static_cast<std::size_t>(which), now);
     }
     next_choice_ = now;
--- a/router/store_tables.h
+++ b/router/store_tables.h
@@ -49,7 +49,7 @@
 
 private:
     void on_read(table which, table_follower::progress progress);
-    void on_outcome(table which, bool answered, bool from_relay);
+    void on_outcome(table which, const table_reader::outcome& how);
     table_reader make_reader(event_loop& loop, const settings& how, table which);
     void choose_source(time_point now);
 
--- a/tests/router/gateway_fixture.cpp
+++ b/tests/router/gateway_fixture.cpp
@@ -71,10 +71,11 @@
                 }
             }
         },
-        [](bool, bool) {});
+        [](const table_reader::outcome&) {});
     directory = std::make_unique<table_reader>(
         loop, address, table_follower("servers", 2),
-        [this](const table_follower::progress& got) { take_directory(got); }, [](bool, bool) {});
+        [this](const table_follower::progress& got) { take_directory(got); },
+        [](const table_reader::outcome&) {});
     wake();
     run_until([this] { return router.is_ready(); });
 }
--- a/tests/router/test_store_tables.cpp
+++ b/tests/router/test_store_tables.cpp
@@ -168,4 +168,44 @@
     BOOST_TEST(!daemons.front()->lost);
 }
 
+BOOST_AUTO_TEST_CASE(are_asked_of_the_store_itself_once_a_relay_has_turned_the_reader_away)
+{
+    event_loop loop;
+    routed_store store(loop);
+    routed_store relay(loop);
+    store.listen();
+    relay.listen();
+    store.put("servers", "u1", "one");
+    relay.put("servers", "u1", "one");
+    std::vector<table_reader::outcome> outcomes;
+    bool lost = false;
+    bool read = false;
+    table_reader reader(
+        loop, {"127.0.0.1", store.port()}, table_follower("servers", 1),
+        [&](const table_follower::progress& got) {
+            lost = lost || got.lost;
+            read = read || got.whole;
+        },
+        [&](const table_reader::outcome& how) { outcomes.push_back(how); });
+    const std::function<void()> wake = [&] {
+        reader.run(event_loop::now());
+        loop.wake_at(event_loop::now() + milliseconds(5), wake);
+    };
+    reader.read_from(endpoint{"127.0.0.1", relay.port()});
+    relay.set_weather(routed_store::weather::busy);
+    wake();
+    const auto end = event_loop::now() + bound;
+    while (!read && event_loop::now() < end) {
+        uv_run(loop.native(), UV_RUN_ONCE);
+    }
+    BOOST_REQUIRE(outcomes.size() >= 2U);
+    BOOST_TEST(!outcomes[0].answered);
+    BOOST_TEST(outcomes[0].from_relay);
+    BOOST_TEST(outcomes[0].why == "status 503");
+    // A relay that is of no use says nothing of the store.
+    BOOST_TEST(outcomes[1].answered);
+    BOOST_TEST(!outcomes[1].from_relay);
+    BOOST_TEST(!lost);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
