--- a/stand_ins/routed_upstream.cpp
+++ b/stand_ins/routed_upstream.cpp
@@ -48,6 +48,10 @@
     const auto* resume = head.find("Last-Event-Id");
     const int first_event = resume == nullptr ? 1 : std::stoi(*resume) + 1;
     const bool is_stream = head.find("X-Token-Counts") != nullptr;
+    if (const auto copy = late_copies_.find(&from); copy != late_copies_.end()) {
+        from.write(copy->second);
+        late_copies_.erase(copy);
+    }
     if (event_loop::now() < refuse_until_) {
         const auto left = refuse_until_ - event_loop::now();
         refusal_(id, left);
@@ -123,6 +127,16 @@
     case behaviour::hang:
         hanging_.push_back(&from);
         return;
+    case behaviour::late_copy:
+        late_copies_[&from] = whole(200, id, sealed());
+        from.write(late_copies_[&from]);
+        from.end_answer(false);
+        return;
+    case behaviour::trickle:
+        from.write(
+            head_of(200, id, sealed("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")));
+        trickling_.push_back(&from);
+        return;
     case behaviour::ask_for_pause:
         from.write(whole(503, id, "X-Not-Executed: 1\r\nRetry-After: " + pause_ + "\r\n"));
         from.end_answer(false);
@@ -159,6 +173,9 @@
         each.due = now + pace_;
         paced_.push_back(std::move(each));
     }
+    for (auto* each : trickling_) {
+        each->write(as_chunk("."));
+    }
     connections_.remove_if([](const auto& each) { return each->gone(); });
 }
 
@@ -187,6 +204,10 @@
 void routed_upstream::on_gone(http_server_connection& from)
 {
     std::erase_if(paced_, [&](const paced_answer& each) { return each.to == &from; });
+    late_copies_.erase(&from);
+    if (std::erase(trickling_, &from) > 0) {
+        ++abandoned_;
+    }
     const auto waiting = std::find(hanging_.begin(), hanging_.end(), &from);
     if (waiting != hanging_.end()) {
         hanging_.erase(waiting);
--- a/stand_ins/routed_upstream.h
+++ b/stand_ins/routed_upstream.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,7 +34,9 @@
         hang,            ///< No answer.
         stream,          ///< A whole event stream.
         stream_broken,   ///< A stream that ends in the middle of its third event.
-        ask_for_pause,   ///< 503 that it did not run, with the pause that was set.
+        late_copy,     ///< 200, and a copy of it at the connection's next request, before that one's answer.
+        trickle,       ///< The head of a stream, then a byte of its first event now and then, for ever.
+        ask_for_pause, ///< 503 that it did not run, with the pause that was set.
     };
 
     struct seen_request {
@@ -107,6 +110,8 @@
     std::function<void(const std::string&, duration)> refusal_{[](const std::string&, duration) {}};
     std::list<std::unique_ptr<http_server_connection>> connections_;
     std::vector<http_server_connection*> hanging_;
+    std::vector<http_server_connection*> trickling_;
+    std::map<http_server_connection*, std::string> late_copies_;
     std::deque<behaviour> script_;
     std::vector<seen_request> seen_;
     std::size_t abandoned_{0};
--- a/tests/router/gateway_fixture.cpp
+++ b/tests/router/gateway_fixture.cpp
@@ -120,6 +120,8 @@
     configuration->run(now);
     directory->run(now);
     gateway->sweep(now);
+    upstream.advance(now);
+    other.advance(now);
     constexpr duration step = milliseconds(5);
     loop.wake_at(event_loop::now() + step, [this] { wake(); });
 }
--- /dev/null
+++ b/tests/router/test_operators_warnings.cpp
@@ -0,0 +1,98 @@
+#include "router/gateway_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinegap;
+using clementinegap::testing::caller_result;
+using clementinegap::testing::gateway_fixture;
+using clementinegap::testing::test_caller;
+using behaviour = routed_upstream::behaviour;
+
+namespace {
+
+const std::string answer_body = "the upstream's own bytes";
+const std::string generation = "X-Model: m\r\nX-Token-Counts: 100,15\r\nX-Prompt-Prefix: a:60,b:40\r\n";
+
+struct warned_fixture : gateway_fixture {
+    void script_both(const std::deque<behaviour>& next)
+    {
+        upstream.script(next);
+        other.script(next);
+    }
+    static std::string with_deadline(const std::string& path, const std::string& id, int deadline_ms)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+               "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer k\r\n" +
+               generation + "Content-Length: 1\r\n\r\nx";
+    }
+};
+
+} // namespace
+
+/// What operators of similar systems have warned of, at an entry.
+BOOST_FIXTURE_TEST_SUITE(what_operators_warned_of, warned_fixture)
+
+BOOST_AUTO_TEST_CASE(a_second_copy_that_comes_late_on_a_connection_in_use_again_reaches_nobody)
+{
+    script_both({behaviour::late_copy, behaviour::answer, behaviour::late_copy, behaviour::answer});
+    test_caller caller(loop, gateway->port());
+    for (int i = 0; i < 8; ++i) {
+        const auto id = "own-" + std::to_string(i);
+        caller.send(request("/book/x", id, "", "b"));
+        BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+        BOOST_TEST(caller.result().status == 200);
+        BOOST_TEST(*caller.result().head.find("X-Request-Id") == id);
+        BOOST_TEST(caller.result().body == answer_body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_off_nothing_that_was_accepted)
+{
+    upstream.set_pace(milliseconds(150));
+    other.set_pace(milliseconds(150));
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(std::make_unique<test_caller>(loop, gateway->port()));
+        callers.back()->send(request("/book/x", "before-" + std::to_string(i), "", "b"));
+    }
+    BOOST_REQUIRE(run_until([&] { return router.open_requests() == 12; }));
+    gateway->stop_accepting_work();
+    gateway->post(drain_begun{event_loop::now() + seconds(7)});
+    const auto is_over = [](const auto& each) { return each->result().ended || each->result().failed; };
+    BOOST_REQUIRE(run_until([&] { return std::ranges::all_of(callers, is_over); }));
+    for (const auto& each : callers) {
+        BOOST_TEST(each->result().status == 200);
+        BOOST_TEST(each->result().body == answer_body);
+        BOOST_TEST(!each->result().head.keep_alive);
+    }
+    // Requests that cross the stop get a whole answer too, whatever it is.
+    const auto late = call("/book/x");
+    BOOST_TEST(late.ended);
+    BOOST_TEST(late.status == 503);
+    BOOST_TEST(*late.head.find("Retry-After") == "0.00");
+    BOOST_TEST(run_until([&] { return gateway->close_idle(); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_but_sound_stream_is_passed_on_whole)
+{
+    upstream.set_pace(milliseconds(900)); // More than twice the pause that its route tolerates.
+    other.set_pace(milliseconds(900));
+    const auto got = call("/guide/x", generation);
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(got.ended);
+    BOOST_TEST(got.body.find("piece 5") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_stream_that_sends_a_byte_now_and_then_ends_at_its_time)
+{
+    script_both({behaviour::trickle, behaviour::trickle});
+    test_caller caller(loop, gateway->port());
+    const auto begun = event_loop::now();
+    caller.send(with_deadline("/guide/x", "trickled", 500));
+    BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+    BOOST_TEST(to_milliseconds(event_loop::now() - begun) < 1500);
+    BOOST_TEST(caller.result().status != 200);
+    BOOST_TEST(run_until([&] { return upstream.abandoned() + other.abandoned() >= 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
