--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -58,7 +58,7 @@
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)), incarnation_(start_stamp()),
       log_(settings_.vm, settings_.log_level), router_(router_settings_of(settings_, incarnation_)),
       peers_(
-          loop_, [this](load_reported report) { on_report(std::move(report)); },
+          loop_, zone_number(settings_.zone), [this](load_reported report) { on_report(std::move(report)); },
           [this](const std::string& why) { log_.warn("peer.bad_report", why); }),
       gateway_(loop_, router_, log_, counters_, [this](soft_item item) { peers_.spread(std::move(item)); }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
--- a/router/store_tables.cpp
+++ b/router/store_tables.cpp
@@ -1,6 +1,5 @@
 #include "router/store_tables.h"
 
-#include "core/digest.h"
 #include "platform/header_names.h"
 
 #include <algorithm>
@@ -25,7 +24,7 @@
 row_offer own_offer(const store_tables::settings& how)
 {
     row_offer offer;
-    offer.zone = static_cast<std::uint32_t>(hash64(how.zone));
+    offer.zone = zone_number(how.zone);
     offer.link_mbps = how.link_mbps;
     return offer;
 }
--- a/routing/row_source.cpp
+++ b/routing/row_source.cpp
@@ -8,6 +8,11 @@
 
 namespace clementinegap {
 
+std::uint32_t zone_number(std::string_view zone)
+{
+    return static_cast<std::uint32_t>(hash64(zone));
+}
+
 row_source::row_source(std::string daemon, const row_offer& own, bool usual)
     : daemon_(std::move(daemon)), own_(own), usual_(usual)
 {
--- a/routing/row_source.h
+++ b/routing/row_source.h
@@ -12,9 +12,12 @@
 
 namespace clementinegap {
 
+/// How reports name an availability zone: by a hash of its name.
+std::uint32_t zone_number(std::string_view zone);
+
 /// What a daemon's report says of the rows that it can give to others.
 struct row_offer {
-    std::uint32_t zone{0};              ///< Hash of the availability zone's name.
+    std::uint32_t zone{0};              ///< See `zone_number`.
     std::uint16_t link_mbps{0};         ///< Daemons with wide links are asked first.
     bool serves{false};                 ///< It reads the store itself, and the store answers it.
     std::uint64_t directory_version{0}; ///< Of the newest row of the directory that it has.
