--- a/misc/paired_days.py
+++ b/misc/paired_days.py
@@ -11,7 +11,6 @@
 import argparse
 import collections
 import concurrent.futures
-import glob
 import json
 import os
 import shutil
@@ -116,15 +115,13 @@
             faults += [f"{name} {label} {day} seed {seed}: rule {rule}" for rule in report["breaks"]]
             results[(name, label, day, seed)] = figures(report)
         for clone in clones.values():
-            entries = subprocess.run(["git", "-C", clone, "status", "--porcelain", "--", "journal"], check=True,
+            entries = subprocess.run(["git", "-C", clone, "status", "--porcelain", "-uall", "--", "journal"], check=True,
                                      capture_output=True, text=True).stdout.splitlines()
             for entry in entries:
                 path = entry[3:]
-                for source in glob.glob(os.path.join(clone, path, "**"), recursive=True) or [os.path.join(clone, path)]:
-                    if os.path.isfile(source):
-                        target = os.path.join(ROOT, os.path.relpath(source, clone))
-                        os.makedirs(os.path.dirname(target), exist_ok=True)
-                        shutil.copy(source, target)
+                if os.path.isfile(os.path.join(clone, path)):
+                    os.makedirs(os.path.dirname(os.path.join(ROOT, path)), exist_ok=True)
+                    shutil.copy(os.path.join(clone, path), os.path.join(ROOT, path))
         print_table(names, results)
         for each in faults:
             print("FAULT", each)
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -131,6 +131,7 @@
     offer.cost = wait + (is_owner && !supply.copies ? duration::zero() : supply.cost) +
                  weights.cost_per_stream * load.in_flight + weights.full_engine_cost * beyond_slots +
                  (is_near ? duration::zero() : weights.further_engine_cost) +
+                 (engine->zone == view.zone ? duration::zero() : weights.other_zone_cost) +
                  (load.pauses == 0 ? duration::zero() : weights.paused_elsewhere_cost) +
                  disturbance(load, to_read, view, weights) +
                  scaled(cost_of_failure, view.health.failure_share(engine->id, view.now));
--- a/tests/routing/test_placement.cpp
+++ b/tests/routing/test_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <set>
 
 using namespace clementinegap;
@@ -316,4 +317,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_zones_of_engines)
+
+BOOST_FIXTURE_TEST_CASE(decide_between_engines_that_are_about_as_good, two_engines)
+{
+    const auto far = std::make_shared<const upstream_record>(router_fixture::upstream("e3", "llm", "z2"));
+    engines = {far, engines[0]};
+    for (std::uint64_t session = 0; session < 20; ++session) {
+        prompt = prompt_of(session);
+        for (const auto* holder : {"e1", "e3"}) {
+            caches.placed({holder, 1, 2000, {}}, now);
+            caches.placed({holder, session, 3000, {}}, now);
+        }
+        BOOST_TEST(choose().upstream->id == "e1");
+    }
+    BOOST_TEST_CONTEXT("but not at the price of a wait")
+    {
+        load.add("e1", 5000, false);
+        BOOST_TEST(choose().upstream->id == "e3");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(keep_callers_of_a_crest_in_their_zone_while_there_is_room, two_engines)
+{
+    // Forty requests of one session, from callers beside e1; both engines hold its shared parts.
+    const auto far = std::make_shared<const upstream_record>(router_fixture::upstream("e3", "llm", "z2"));
+    engines = {engines[0], far};
+    for (const auto* holder : {"e1", "e3"}) {
+        caches.placed({holder, 1, 2000, {}}, now);
+        caches.placed({holder, 42, 3000, {}}, now);
+    }
+    std::map<std::string, int> sent;
+    for (int i = 0; i < 40; ++i) {
+        const auto choice = choose();
+        ++sent[choice.upstream->id];
+        load.add(choice.upstream->id, choice.prefill_tokens, false);
+    }
+    BOOST_TEST(sent["e1"] >= sent["e3"]);
+    BOOST_TEST_CONTEXT("and share the work when there is none: nobody waits much longer than elsewhere")
+    {
+        const auto longest = view().speed.reading(load.at("e1").prefill_tokens);
+        const auto shortest = view().speed.reading(load.at("e3").prefill_tokens);
+        BOOST_TEST((longest - shortest < milliseconds(50)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
