What the router does about its upstreams has a file of its own

The events of the directory move to the file on departures and pauses, now request_router_upstreams.cpp; no line of them changes. test_routing: 120 cases pass.

--- a/routing/request_router_pauses.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -1,9 +1,11 @@
 #include "routing/request_router.h"
 
 #include <algorithm>
+#include <utility>
 
 /// \file
-/// The part of the router that answers upstreams which leave or ask for a pause.
+/// The part of the router that follows its upstreams: their directory, what they say of themselves in
+/// answers, and the requests that wait for one to open.
 
 namespace clementinegap {
 namespace {
@@ -13,6 +15,58 @@
 
 } // namespace
 
+void request_router::process_gone(std::string_view upstream)
+{
+    placement_.engine_gone(upstream);
+    for (auto& item : crashes_.process_gone(upstream, now_)) {
+        actions_.emplace_back(spread_item{std::move(item)});
+    }
+}
+
+void request_router::on(const upstream_listed& event)
+{
+    const auto before = directory_.find(event.record.id);
+    if (before && before->incarnation != event.record.incarnation) {
+        process_gone(event.record.id);
+    }
+    if (!directory_.put(event.record)) {
+        return;
+    }
+    actions_.emplace_back(log_decision{"upstream.listed", "", event.record.id,
+                                       event.record.service + (event.record.leaving ? " leaving" : "")});
+    division_is_old_ = true;
+}
+
+void request_router::on(const upstream_removed& event)
+{
+    directory_.erase(event.id, now_);
+    actions_.emplace_back(log_decision{"upstream.removed", "", event.id, ""});
+    division_is_old_ = true;
+}
+
+void request_router::on(const directory_listed& event)
+{
+    std::vector<std::string> ids;
+    for (const auto& each : event.records) {
+        ids.push_back(each.id);
+        on(upstream_listed{each});
+    }
+    directory_.retain(ids, now_);
+    division_is_old_ = true;
+}
+
+void request_router::on(const directory_unreachable&)
+{
+    directory_.directory_lost();
+    actions_.emplace_back(log_decision{"directory.lost", "", "", ""});
+}
+
+void request_router::on(const directory_reachable&)
+{
+    directory_.directory_returned(now_);
+    actions_.emplace_back(log_decision{"directory.regained", "", "", ""});
+}
+
 void request_router::on(const upstream_notice& event)
 {
     if (!event.unreadable.empty()) {
