--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -20,7 +20,7 @@
 bool is_excluded(const upstream_record& upstream, const choice_view& view)
 {
     return std::find(view.excluded.begin(), view.excluded.end(), upstream.id) != view.excluded.end() ||
-           (view.pauses != nullptr && view.pauses->closed(upstream.id, view.now));
+           view.is_paused(upstream.id);
 }
 
 /// Calls `visit` for each upstream that may be used; for those to be avoided only when there is no other.
@@ -177,9 +177,10 @@
     double best_cost = std::numeric_limits<double>::max();
     for_each_usable(upstreams, view, [&](const upstream_ptr& each) {
         const double slots = std::max(each->slots, 1U);
-        const double in_flight = view.load.at(each->id).in_flight;
+        const auto load = view.load.at(each->id);
+        const double in_flight = load.in_flight;
         const bool near = each->zone == view.zone;
-        const double paused_elsewhere = view.load.at(each->id).pauses == 0 ? 0 : 1;
+        const double paused_elsewhere = load.pauses == 0 ? 0 : 1;
         const double cost = (in_flight + (near ? 0 : zone_preference_requests)) / slots + paused_elsewhere +
                             view.health.failure_share(each->id, view.now);
         if (cost < best_cost) {
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -26,6 +26,11 @@
     bool short_gap{false}; ///< The request itself is of the kind that tolerates the shortest gaps.
     engine_speed speed{};  ///< Of the engines that are chosen from.
     const upstream_pauses* pauses{nullptr}; ///< nullptr: no upstream has asked for one.
+
+    bool is_paused(std::string_view upstream) const
+    {
+        return pauses != nullptr && pauses->closed(upstream, now);
+    }
 };
 
 /// An upstream for a request, with what is expected there.
