--- a/router/exchange.h
+++ b/router/exchange.h
@@ -48,11 +48,11 @@
 private:
     /// An answer that is not a stream is held until it is whole, up to this size.
     static constexpr std::size_t most_held_bytes = std::size_t{1} << 20U;
-    /// Unsent bytes to a caller above which its upstream is not read.
     /// Of an answer that is of no use: enough to find its end and keep the connection.
     static constexpr std::size_t most_ignored_bytes = std::size_t{64} * 1024;
     /// Of one event of a stream; a long text in one event has some 100 kB.
     static constexpr std::size_t largest_event_bytes = std::size_t{1} << 20U;
+    /// Unsent bytes to a caller above which its upstream is not read.
     static constexpr std::size_t most_unwritten_bytes = std::size_t{256} * 1024;
 
     http_client_connection::head_verdict on_answer_head(const http_head& head) override;
--- a/router/row_relay.h
+++ b/router/row_relay.h
@@ -31,7 +31,6 @@
     void serve(bool serves);
     /// Answers calls that have waited long enough.
     void sweep(time_point now);
-    std::size_t waiting() const { return waiting_.size(); }
 
 private:
     /// Daemons of a zone at the letter's size, with a call for each of three tables.
--- a/router/store_link.h
+++ b/router/store_link.h
@@ -38,7 +38,6 @@
     void set_store(endpoint store);
     /// Reads from another daemon from now on; nothing: from the store.
     void read_from(const std::optional<endpoint>& relay);
-    const table_follower& follower() const { return follower_; }
     /// When `run` is due.
     time_point due() const;
 
--- a/routing/table_follower.h
+++ b/routing/table_follower.h
@@ -64,8 +64,6 @@
     /// \param result `history_gone` or `failed`.
     progress on_no_page(read_result result, time_point now);
     bool reachable() const { return reachable_; }
-    /// Whether all rows have been read, so that changes are awaited.
-    bool following() const { return following_; }
     const std::string& table() const { return table_; }
 
 private:
