Entries read Server-Limit and log what each upstream names

Nothing in the router knew the header. Change: the answer's head is read for Server-Limit (the strictest of several values; what is unreadable is logged and means nothing); upstream_limits keeps what each upstream last said; upstream.limit is logged on each change, and clementinegap_upstream_limits counts the upstreams with a limit. No decision uses it yet.

--- a/observability/metric_table.cpp
+++ b/observability/metric_table.cpp
@@ -51,6 +51,8 @@
     metric_definition{"clementinegap_timeline_dropped", gauge, "",
                       "Events that left the ring of the time line since the start."},
     metric_definition{"clementinegap_tokens_total", counter, "class", "Tokens relayed to callers."},
+    metric_definition{"clementinegap_upstream_limits", gauge, "",
+                      "Upstreams that name a limit of requests a second."},
     metric_definition{"clementinegap_wasted_tokens_total", counter, "class",
                       "Tokens that were made and did not end in a whole answer."},
 };
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -249,6 +249,8 @@
     if (path == settings_.metrics_path) {
         counters_.set("clementinegap_requests_open", static_cast<double>(router_.open_requests()));
         counters_.set("clementinegap_members", static_cast<double>(router_.loads().reporting_daemons() + 1));
+        counters_.set("clementinegap_upstream_limits",
+                      static_cast<double>(router_.limits().current().size()));
         counters_.set("clementinegap_draining", router_.draining() ? 1 : 0);
         const auto* table = router_.table();
         counters_.set("clementinegap_configuration_version",
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -49,11 +49,12 @@
 http_client_connection::head_verdict exchange::on_response_head(const http_head& head)
 {
     using verdict = http_client_connection::head_verdict;
-    if (auto notice = decode_notice(head, *current_send_.upstream); notice.has_content()) {
-        gateway_.post(std::move(notice));
-    }
+    auto notice = decode_notice(head, *current_send_.upstream);
     auto response = decode_answer(head);
-    if (!response.request_id.empty() && response.request_id != id_) {
+    const bool is_of_another = !response.request_id.empty() && response.request_id != id_;
+    notice.request = is_of_another ? 0 : number_;
+    gateway_.post(std::move(notice));
+    if (is_of_another) {
         return verdict::discard;
     }
     response_ = std::move(response);
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -413,6 +413,7 @@
     placement_.expire(now_);
     directory_.expire(now_);
     backoffs_.expire(now_);
+    limits_.expire(now_);
     partitions_outdated_ = true;
     for (const auto& [service, queue] : wait_queues_) {
         send_waiting(service);
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -11,6 +11,7 @@
 #include "routing/upstream_choice.h"
 #include "routing/upstream_directory.h"
 #include "routing/upstream_health.h"
+#include "routing/upstream_limits.h"
 
 #include <map>
 #include <memory>
@@ -53,6 +54,7 @@
     /// The report to send to the other daemons.
     load_report report(time_point now);
     const load_tracker& loads() const { return load_; }
+    const upstream_limits& limits() const { return limits_; }
     /// Number of partition recomputations, the cost of which grows with the fleet.
     std::uint64_t partition_updates() const { return partition_updates_; }
 
@@ -82,6 +84,8 @@
     void release(routed_request& request);
     bool may_send_again(routed_request& request, const send_failed& event);
     void give_up(routed_request& request, send_fault fault, bool response_begun);
+    void apply_limit(const upstream_notice& event);
+    void log_limit(std::string_view upstream, const std::string& source);
     void apply_leave_notice(const leave_notice& value, const std::string& source);
     /// Queues a request until an upstream of its service accepts requests again.
     /// \returns false if waiting would not help.
@@ -118,6 +122,7 @@
     generation_placement placement_;
     crash_watch crashes_;
     upstream_backoffs backoffs_;
+    upstream_limits limits_;
     std::map<std::string, capacity_wait_queue, std::less<>> wait_queues_; ///< By service.
     std::map<std::string, retry_budget, std::less<>> budgets_;
     /// Smoothed response time of plain requests.
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -1,6 +1,7 @@
 #include "routing/request_router.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 /// \file
@@ -25,6 +26,7 @@
 
 void request_router::on(const upstream_listed& event)
 {
+    limits_.listed(event.record.id);
     const auto before = directory_.find(event.record.id);
     if (before && before->incarnation != event.record.incarnation) {
         process_ended(event.record.id);
@@ -40,6 +42,7 @@
 void request_router::on(const upstream_removed& event)
 {
     directory_.erase(event.id, now_);
+    limits_.unlisted(event.id, now_);
     actions_.emplace_back(log_decision{"upstream.removed", "", event.id, ""});
     partitions_outdated_ = true;
 }
@@ -52,6 +55,11 @@
         on(upstream_listed{each});
     }
     directory_.retain(ids, now_);
+    for (const auto& [upstream, limit] : limits_.current()) {
+        if (std::ranges::find(ids, upstream) == ids.end()) {
+            limits_.unlisted(upstream, now_);
+        }
+    }
     partitions_outdated_ = true;
 }
 
@@ -80,6 +88,7 @@
                                "told in an answer");
         }
     }
+    apply_limit(event);
     if (!event.backoff) {
         return;
     }
@@ -93,6 +102,31 @@
     actions_.emplace_back(recall_unsent{event.upstream});
 }
 
+void request_router::apply_limit(const upstream_notice& event)
+{
+    if (event.upstream.empty()) {
+        return;
+    }
+    const auto answered = requests_.find(event.request);
+    const bool known = answered != requests_.end() && answered->second.upstream;
+    const auto sent_at = known ? answered->second.sent_at : time_point{};
+    const bool changed = event.limit_per_second
+                             ? limits_.named(event.upstream, *event.limit_per_second, sent_at, now_)
+                             : event.tells_limit && limits_.not_named(event.upstream, sent_at, now_);
+    if (changed) {
+        log_limit(event.upstream, "told in an answer");
+    }
+}
+
+void request_router::log_limit(std::string_view upstream, const std::string& source)
+{
+    const auto limit = limits_.at(upstream);
+    std::ostringstream text;
+    text << "per_second " << (limit ? *limit : 0.0);
+    actions_.emplace_back(log_decision{"upstream.limit", "", std::string(upstream),
+                                       (limit ? text.str() : "ended") + " " + source});
+}
+
 void request_router::apply_leave_notice(const leave_notice& value, const std::string& source)
 {
     if (!directory_.add_leave_notice(value, now_)) {
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -51,9 +51,12 @@
     std::optional<std::int64_t> incarnation;
     bool leaving{false};
     std::optional<duration> backoff; ///< Time for which this daemon should send it nothing.
-    std::string unreadable;          ///< A header that could not be parsed, for the log.
-
-    bool has_content() const { return leaving || backoff.has_value() || !unreadable.empty(); }
+    std::string unreadable{};        ///< A header that could not be parsed, for the log.
+    /// Requests per second that it accepts from all daemons together; nothing: it names no limit.
+    std::optional<double> limit_per_second{};
+    /// Whether the response would name a limit if there were one, so that a missing limit has ended.
+    bool tells_limit{false};
+    request_number request{0}; ///< The request that was responded to; 0: an unknown one.
 };
 
 /// The first event of a stream was received.
--- /dev/null
+++ b/routing/upstream_limits.cpp
@@ -0,0 +1,118 @@
+#include "routing/upstream_limits.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+namespace {
+
+bool is_stricter(std::optional<double> left, std::optional<double> right)
+{
+    return left && (!right || *left < *right);
+}
+
+} // namespace
+
+bool upstream_limits::named(std::string_view upstream, double per_second, time_point sent_at, time_point now)
+{
+    const auto known = known_.find(upstream);
+    if (known == known_.end()) {
+        return set(upstream, 1, per_second, now);
+    }
+    const auto& current = known->second;
+    if (current.per_second == per_second) {
+        return false;
+    }
+    if (!is_stricter(per_second, current.per_second) && sent_at < current.known_since) {
+        return false;
+    }
+    return set(upstream, current.revision + 1, per_second, now);
+}
+
+bool upstream_limits::not_named(std::string_view upstream, time_point sent_at, time_point now)
+{
+    const auto known = known_.find(upstream);
+    if (known == known_.end() || !known->second.per_second || sent_at < known->second.known_since) {
+        return false;
+    }
+    return set(upstream, known->second.revision + 1, std::nullopt, now);
+}
+
+bool upstream_limits::merge(const limit_statement& value, time_point now)
+{
+    const auto known = known_.find(value.upstream);
+    if (known == known_.end()) {
+        return set(value.upstream, value.revision, value.per_second, now) && value.per_second.has_value();
+    }
+    const auto& current = known->second;
+    const bool is_newer = value.revision > current.revision;
+    const bool is_stricter_twin =
+        value.revision == current.revision && is_stricter(value.per_second, current.per_second);
+    if (!is_newer && !is_stricter_twin) {
+        return false;
+    }
+    const bool differs = value.per_second != current.per_second;
+    return set(value.upstream, value.revision, value.per_second, now) && differs;
+}
+
+bool upstream_limits::set(std::string_view upstream, std::uint32_t revision, std::optional<double> per_second,
+                          time_point now)
+{
+    auto known = known_.find(upstream);
+    if (known == known_.end()) {
+        if (known_.size() >= max_entries) {
+            return false;
+        }
+        known = known_.emplace(std::string(upstream), entry{}).first;
+    }
+    known->second = {revision, per_second, now, per_second ? never : now + ended_retention};
+    return true;
+}
+
+std::optional<double> upstream_limits::at(std::string_view upstream) const
+{
+    const auto known = known_.find(upstream);
+    return known == known_.end() ? std::nullopt : known->second.per_second;
+}
+
+std::map<std::string, double, std::less<>> upstream_limits::current() const
+{
+    std::map<std::string, double, std::less<>> result;
+    for (const auto& [upstream, each] : known_) {
+        if (each.per_second) {
+            result.emplace(upstream, *each.per_second);
+        }
+    }
+    return result;
+}
+
+std::vector<limit_statement> upstream_limits::statements() const
+{
+    std::vector<limit_statement> result;
+    for (const auto& [upstream, each] : known_) {
+        result.push_back({upstream, each.revision, each.per_second});
+    }
+    return result;
+}
+
+void upstream_limits::listed(std::string_view upstream)
+{
+    const auto known = known_.find(upstream);
+    if (known != known_.end() && known->second.per_second) {
+        known->second.forget_at = never;
+    }
+}
+
+void upstream_limits::unlisted(std::string_view upstream, time_point now)
+{
+    const auto known = known_.find(upstream);
+    if (known != known_.end()) {
+        known->second.forget_at = std::min(known->second.forget_at, now + unlisted_retention);
+    }
+}
+
+void upstream_limits::expire(time_point now)
+{
+    std::erase_if(known_, [&](const auto& each) { return each.second.forget_at <= now; });
+}
+
+} // namespace clementinegap
--- a/tests/platform/test_notice_headers.cpp
+++ b/tests/platform/test_notice_headers.cpp
@@ -137,3 +137,41 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_rate_limit_of_an_upstream)
+
+BOOST_AUTO_TEST_CASE(is_read_from_any_answer)
+{
+    for (const int status : {200, 404, 429, 500, 503}) {
+        BOOST_TEST(notice_of(status, {{"server-limit", "2.5"}}).limit_per_second.value_or(-1) == 2.5);
+    }
+    BOOST_TEST(notice_of(200, {{"Server-Limit", "0"}}).limit_per_second.value_or(-1) == 0.0);
+    BOOST_TEST(!notice_of(200, {}).limit_per_second);
+}
+
+BOOST_AUTO_TEST_CASE(is_the_strictest_of_several)
+{
+    const auto notice = notice_of(200, {{"Server-Limit", "5"}, {"Server-Limit", "7, 3"}});
+    BOOST_TEST(notice.limit_per_second.value_or(-1) == 3.0);
+}
+
+BOOST_AUTO_TEST_CASE(means_nothing_when_it_is_garbled)
+{
+    for (const auto* value : {"", "many", "-1", "1x", "nan", "inf", "\x01"}) {
+        const auto notice = notice_of(200, {{"Server-Limit", value}, {"X-Response-Seal", "s"}});
+        BOOST_TEST(!notice.limit_per_second);
+        BOOST_TEST(!notice.tells_limit);
+        BOOST_TEST(!notice.unreadable.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(has_ended_only_if_a_sealed_success_names_none)
+{
+    BOOST_TEST(notice_of(200, {{"X-Response-Seal", "s"}}).tells_limit);
+    BOOST_TEST(!notice_of(200, {}).tells_limit);
+    BOOST_TEST(!notice_of(500, {{"X-Response-Seal", "s"}}).tells_limit);
+    BOOST_TEST(!notice_of(503, {{"X-Not-Executed", "1"}}).tells_limit);
+    BOOST_TEST(!notice_of(421, {{"X-Instance-Id", "other"}, {"X-Response-Seal", "s"}}).tells_limit);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/test_upstream_limits.cpp
@@ -0,0 +1,108 @@
+#include "routing/router_fixture.h"
+#include "routing/upstream_limits.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace clementinegap;
+using namespace clementinegap::testing;
+
+BOOST_AUTO_TEST_SUITE(rate_limits_of_upstreams)
+
+BOOST_AUTO_TEST_SUITE(as_observed)
+
+BOOST_AUTO_TEST_CASE(hold_until_a_later_response_names_none)
+{
+    upstream_limits limits;
+    BOOST_TEST(limits.named("u", 2, start, start));
+    BOOST_TEST(!limits.named("u", 2, start, start + seconds(1)));
+    BOOST_TEST(limits.at("u").value_or(-1) == 2.0);
+    // The response to a request that was sent before the limit became known may be older than the limit.
+    BOOST_TEST(!limits.not_named("u", start - seconds(1), start + seconds(1)));
+    BOOST_TEST(limits.at("u").has_value());
+    BOOST_TEST(limits.not_named("u", start + seconds(1), start + seconds(2)));
+    BOOST_TEST(!limits.at("u").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(become_stricter_at_once_and_looser_later)
+{
+    upstream_limits limits;
+    limits.named("u", 4, start, start);
+    BOOST_TEST(limits.named("u", 1, start - seconds(1), start + seconds(1)));
+    BOOST_TEST(!limits.named("u", 4, start, start + seconds(2)));
+    BOOST_TEST(limits.at("u").value_or(-1) == 1.0);
+    BOOST_TEST(limits.named("u", 4, start + seconds(1), start + seconds(2)));
+    BOOST_TEST(limits.at("u").value_or(-1) == 4.0);
+}
+
+BOOST_AUTO_TEST_CASE(are_kept_while_an_entry_may_have_expired_by_mistake)
+{
+    upstream_limits limits;
+    limits.named("u", 1, start, start);
+    limits.unlisted("u", start);
+    limits.expire(start + seconds(119));
+    BOOST_TEST(limits.at("u").has_value());
+    limits.listed("u");
+    limits.expire(start + seconds(1000));
+    BOOST_TEST(limits.at("u").has_value());
+    limits.unlisted("u", start + seconds(1000));
+    limits.expire(start + seconds(1121));
+    BOOST_TEST(limits.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(as_reported)
+
+BOOST_AUTO_TEST_CASE(follow_the_newest_statement)
+{
+    upstream_limits one;
+    upstream_limits two;
+    one.named("u", 1, start, start);
+    BOOST_TEST(two.merge(one.statements().front(), start));
+    BOOST_TEST(!two.merge(one.statements().front(), start));
+    BOOST_TEST(two.not_named("u", start + seconds(1), start + seconds(1)));
+    BOOST_TEST(!two.merge(one.statements().front(), start + seconds(1)));
+    BOOST_TEST(one.merge(two.statements().front(), start + seconds(1)));
+    BOOST_TEST(!one.at("u").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(agree_on_the_stricter_of_two_that_are_equally_new)
+{
+    upstream_limits one;
+    upstream_limits two;
+    one.named("u", 1, start, start);
+    two.named("u", 3, start, start);
+    two.merge(one.statements().front(), start);
+    one.merge({"u", 1, 3.0}, start);
+    BOOST_TEST(one.at("u").value_or(-1) == 1.0);
+    BOOST_TEST(two.at("u").value_or(-1) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(are_bounded_regardless_of_reports)
+{
+    upstream_limits limits;
+    for (int i = 0; i < 10000; ++i) {
+        limits.merge({"u" + std::to_string(i), 1, 1.0}, start);
+    }
+    BOOST_TEST(limits.size() == 4096U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_CASE(are_logged_when_they_change, router_fixture)
+{
+    const auto request = arrive("/book/x");
+    upstream_notice notice;
+    notice.upstream = sent_to();
+    notice.incarnation = 1;
+    notice.request = request;
+    notice.limit_per_second = 1.5;
+    give(notice);
+    BOOST_REQUIRE(all<log_decision>().size() >= 1U);
+    BOOST_TEST(all<log_decision>().front().event == "upstream.limit");
+    BOOST_TEST(all<log_decision>().front().detail == "per_second 1.5 told in an answer");
+    give(notice);
+    BOOST_TEST(all<log_decision>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
