Entries divide the rate limit that an upstream names to all of them

What callers and upstreams saw: an upstream that named Server-Limit 1 got 16 requests in 4 s (11 allowed); it was in need and got no relief. Cause: the header named a property of the whole fleet, and no decision of an entry knew it. Change: upstream_limits merges what entries observe and report (revisions; stricter at once, looser only from a later request); fleet_members says who divides, keeps silent entries 15 s, and a minority keeps its former members longer; limit_shares divides a limit among at most two entries more than it allows requests a second, by rendezvous hashing, and paces each share (GCRA). send_gate joins that with backoffs, so that choice, waiting and Retry-After follow one rule: requests go to other upstreams; if all are blocked they wait for the entry's own turns while their time allows, the most urgent first; the others are refused at once with the time at which the limits together have room. Ruled out: a share for every entry (with 200 entries a limit of 1 gives each one request in 200 s, and random phases exceed the bound), leases in the store (it may be down), one owner an upstream (its loss stops the upstream).

--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -5,10 +5,11 @@
 
 Real processes: entries, upstream stand-ins, a store stand-in. Each entry reaches the store, and all entries every other
 upstream, through a proxy of this script that delays, resets, silences, or loses the answers; processes are killed,
-paused, stopped and started by signals, in series that overlap; upstreams say that they leave, or refuse and ask for a
-pause. Checked from outside: a booking runs at most once; a request that was answered 503 never ran; an answer is
-the one to its own request and whole; a stream has no gap and no repeat; an entry that is undisturbed sends nothing to an upstream
-that told it so; at the end, without faults, all is served.
+paused, stopped and started by signals, in series that overlap; upstreams say that they leave, refuse and ask for a
+pause, or name a limit of requests a second. Checked from outside: a booking runs at most once; a request that was
+answered 503 never ran; an answer is the one to its own request and whole; a stream has no gap and no repeat; an entry
+that is undisturbed sends nothing to an upstream that told it so; together the entries keep the limits that upstreams
+name; at the end, without faults, all is served.
 Exits 1 when a promise is broken and prints the seed. Ends only processes that it started.
 """
 import argparse
@@ -31,11 +32,14 @@
 BIN = os.path.join(os.environ.get("BUILD", "build"), "bin")
 ANSWER = b"the upstream's own bytes"
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+FAULTS = ("kill", "pause", "leave", "refuse", "limit", "stop", "weather")
 KINDS = ("look", "book", "ask", "guide")
 RECOVERY_S = 12
 LEAVING_BOUND_S = 2  # As the users' sites have it.
 PAUSE_BOUND_S = 0.5
 MOST_IN_PAUSE = 2
+LIMIT_WINDOW_S = 4
+LIMIT_SETTLES_S = 3
 
 
 class Proxy:
@@ -93,6 +97,7 @@
     def __init__(self, entries, upstreams):
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.processes, self.commands, self.runs = {}, {}, collections.Counter()
+        self.limits = []
         self.told, self.starts, self.disturbed = [], collections.Counter(), collections.defaultdict(list)
         self.lock = threading.Lock()
         self.store_port = free_port()
@@ -158,11 +163,15 @@
             threading.Thread(target=self.read_runs, args=(process, name), daemon=True).start()
 
     def read_runs(self, process, name):
-        """Notes what an upstream prints: "ID PATH" of a run, "refused ID MILLISECONDS", "leaving"."""
+        """Notes what an upstream prints: "ID PATH" of a run, "refused ID MILLISECONDS", "leaving",
+        "limit RATE", "unlimited"."""
         start = self.starts[name]
         for line in process.stdout:
             words, now = line.decode().split(), time.monotonic()
             with self.lock:
+                if words[0] in ("limit", "unlimited"):
+                    self.limits.append((now, name, start, float(words[1]) if words[0] == "limit" else None))
+                    continue
                 if words[0] == "refused":
                     self.told.append((now, name, start, words[1], float(words[2]) / 1000))
                     continue
@@ -232,7 +241,7 @@
         self.results.append((kind, name, status, answered_id, body))
 
 
-def break_things(deployment, randomly, until):
+def break_things(deployment, randomly, until, kinds):
     """Faults in series that overlap, until the time is over; all is whole again at the end."""
     threads = []
 
@@ -245,6 +254,9 @@
     def refuse(name):
         deployment.signal(name, signal.SIGUSR2)
 
+    def limit(name):
+        deployment.signal(name, signal.SIGHUP)
+
     def kill(name):
         deployment.signal(name, signal.SIGKILL)
         deployment.restart(name)
@@ -270,16 +282,17 @@
         try:
             action(name)
         finally:
-            if action not in (leave, refuse):
+            if action not in (leave, refuse, limit):
                 deployment.disturbed[name].append((begun, time.monotonic()))
             busy.discard(name)
 
     while time.monotonic() < until:
         everyone = list(deployment.entries) + list(deployment.upstreams)
         name = randomly.choice(everyone)
-        actions = [kill, pause] + [leave, refuse, refuse] * (name in deployment.upstreams) + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
-        action = randomly.choice(actions)
-        if name not in busy:
+        actions = [kill, pause] + [leave, refuse, refuse, limit, limit] * (name in deployment.upstreams) + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
+        actions = [each for each in actions if each.__name__ in kinds]
+        action = randomly.choice(actions) if actions else None
+        if action and name not in busy:
             busy.add(name)
             threads.append(threading.Thread(target=run, args=(action, name)))
             threads[-1].start()
@@ -347,6 +360,32 @@
             told_leaving.setdefault(key, now)
 
 
+def exceeded_limits(deployment):
+    """Windows in which an upstream got more than one and a half times its limit, and five, from entries that it had told."""
+    sent_by = sends_of_entries(deployment)
+    for begun, upstream, start, rate in deployment.limits:
+        if rate is None:
+            continue
+        ended = min([now for now, name, its_start, value in deployment.limits
+                     if name == upstream and its_start == start and now > begun], default=float("inf"))
+        told, counted = {}, collections.deque()
+        for now, name, its_start, what, _ in sorted(deployment.told, key=lambda each: each[0]):
+            entry = sent_by.get(what)
+            if (name, its_start) != (upstream, start) or entry is None or not begun <= now <= ended:
+                continue
+            told_at = told.setdefault(entry, now)
+            disturbed = any(at <= now <= until + LIMIT_WINDOW_S
+                            for each in (entry, upstream) for at, until in deployment.disturbed[each])
+            if now < begun + LIMIT_SETTLES_S or now < told_at + PAUSE_BOUND_S or disturbed:
+                continue
+            counted.append(now)
+            while counted[0] <= now - LIMIT_WINDOW_S:
+                counted.popleft()
+            if len(counted) > 1.5 * rate * LIMIT_WINDOW_S + 5:
+                yield f"{upstream} had named a limit of {rate} a second and got {len(counted)} requests in 4 s"
+                break
+
+
 def odd_log_lines(deployment):
     """Lines of the entries' logs that are not of the form of docs/entry-log.json; a kill may cut the last one."""
     with open(os.path.join(os.path.dirname(__file__), "..", "docs", "entry-log.json"), encoding="utf-8") as file:
@@ -382,6 +421,7 @@
     parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--upstreams", type=int, default=3)
     parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--faults", default=",".join(FAULTS), help="kinds of faults, out of " + ", ".join(FAULTS))
     options = parser.parse_args()
     randomly = random.Random(options.seed)
     deployment = Deployment(options.entries, options.upstreams)
@@ -392,7 +432,7 @@
     try:
         for each in callers:
             each.start()
-        break_things(deployment, randomly, time.monotonic() + options.seconds)
+        break_things(deployment, randomly, time.monotonic() + options.seconds, options.faults.split(","))
         calm_from, recovered = len(results), False
         end = time.monotonic() + RECOVERY_S
         while time.monotonic() < end and not recovered:
@@ -406,7 +446,8 @@
         time.sleep(0.3)
     finally:
         deployment.stop()
-    problems = [*broken_promises(results, deployment.runs), *ignored_notices(deployment), *odd_log_lines(deployment)]
+    problems = [*broken_promises(results, deployment.runs), *ignored_notices(deployment), *exceeded_limits(deployment),
+                *odd_log_lines(deployment)]
     if not recovered:
         problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
     ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// To be incremented with every change of the layout; daemons reject reports of another layout version.
-constexpr int layout_version = 9;
+constexpr int layout_version = 10;
 
 } // namespace
 
@@ -40,6 +40,10 @@
     for (const auto& each : report.leave_notices) {
         leave_notices.push_back({each.upstream, each.incarnation});
     }
+    json limits = json::array();
+    for (const auto& each : report.limits) {
+        limits.push_back({each.upstream, each.revision, each.per_second ? json(*each.per_second) : json()});
+    }
     const json document = {
         layout_version,
         report.daemon,
@@ -53,7 +57,8 @@
         report.next_in.count(),
         speeds,
         {report.relay.zone, report.relay.link_mbps, report.relay.serves, report.relay.directory_version},
-        leave_notices};
+        leave_notices,
+        limits};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -103,6 +108,11 @@
         for (const auto& each : document.at(12)) {
             report.leave_notices.push_back({each.at(0).get<std::string>(), each.at(1).get<std::int64_t>()});
         }
+        for (const auto& each : document.at(13)) {
+            const auto& rate = each.at(2);
+            report.limits.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint32_t>(),
+                                     rate.is_null() ? std::nullopt : std::optional(rate.get<double>())});
+        }
         for (const auto& each : document.at(7)) {
             soft_state_item item;
             item.origin = report.daemon;
--- a/routing/capacity_wait_queue.h
+++ b/routing/capacity_wait_queue.h
@@ -3,7 +3,7 @@
 #include "core/time.h"
 #include "core/timer_service.h"
 #include "routing/router_events.h"
-#include "routing/upstream_backoffs.h"
+#include "routing/send_gate.h"
 #include "routing/upstream_directory.h"
 
 #include <cstddef>
@@ -18,22 +18,30 @@
 
 namespace clementinegap {
 
-/// The earliest end of backoff among the upstreams of a service that are all backing off.
+/// When a service whose upstreams are all blocked accepts requests of this daemon again, and how many.
 struct service_availability {
-    time_point at;              ///< When the first of them accepts requests again.
-    std::uint32_t upstreams{0}; ///< Number of upstreams that accept requests at that time.
-    std::uint32_t slots{0};     ///< Sum of their slots.
+    /// When the first of them accepts a request; `never` if this daemon has no share of any of their limits.
+    time_point at{never};
+    std::uint32_t upstreams{
+        0};                 ///< Number of upstreams without a rate limit that accept requests at that time.
+    std::uint32_t slots{0}; ///< Sum of their slots.
+    double share{0};        ///< Requests per second that this daemon may send to the upstreams with a limit.
+    double limit{0};        ///< Requests per second that all daemons may send to them.
+
+    /// How many waiting requests this daemon can send up to `latest_start`.
+    /// \param daemons number of daemons that use the service.
+    std::size_t places(time_point latest_start, std::size_t daemons) const;
 };
 
 /// \param excluded ids of upstreams that are ignored.
 /// \returns nothing if an upstream accepts requests now or if there is none.
 std::optional<service_availability> next_availability(std::span<const upstream_ptr> upstreams,
                                                       std::span<const std::string> excluded,
-                                                      const upstream_backoffs& backoffs, time_point now);
+                                                      const send_gate& gate, time_point now);
 
-/// Queue of a service's requests while all of its upstreams are in backoff. It holds as many requests as the
+/// Queue of a service's requests while all of its upstreams are blocked. It holds as many requests as the
 /// first available upstreams can take, by urgency and then by arrival. The other callers are refused at once;
-/// their Retry-After times are staggered from the end of the backoff on, so that they do not all retry at the
+/// their Retry-After times are staggered from the first availability on, so that they do not all retry at the
 /// same instant.
 class capacity_wait_queue {
 public:
@@ -43,6 +51,9 @@
     std::optional<request_number> add(request_number request, std::uint8_t urgency, std::size_t capacity);
     void remove(request_number request, std::uint8_t urgency) { waiting_.erase({urgency, request}); }
     std::vector<request_number> in_order() const;
+    /// Number of requests that go before this one.
+    std::size_t ahead_of(request_number request, std::uint8_t urgency) const;
+    std::size_t size() const { return waiting_.size(); }
     bool empty() const { return waiting_.empty(); }
 
     /// Time until the next refused caller should retry.
@@ -53,6 +64,10 @@
     timer_service::timer_id timer{0}; ///< Timer of the next attempt to send waiting requests; 0: none.
 
 private:
+    /// The upper bound of a staggered Retry-After. The cause of the wait may end before all callers have had
+    /// their turn.
+    static constexpr duration max_retry_after = seconds(30);
+
     std::set<std::pair<std::uint8_t, request_number>> waiting_;
     time_point last_retry_at_{};
 };
--- /dev/null
+++ b/routing/fleet_members.cpp
@@ -0,0 +1,67 @@
+#include "routing/fleet_members.h"
+
+#include <algorithm>
+
+namespace clementinegap {
+
+void fleet_members::on_report(std::string_view daemon, duration next_in, time_point now)
+{
+    const auto known = members_.find(daemon);
+    if (known == members_.end()) {
+        members_.emplace(std::string(daemon), member{now, next_in});
+        ++revision_;
+        return;
+    }
+    known->second = {now, next_in};
+}
+
+void fleet_members::on_time(time_point now)
+{
+    if (joining_since_ == never) {
+        joining_since_ = now;
+    } else if (now - last_event_ > suspension_threshold) {
+        joining_since_ = now;
+        for (auto& [name, each] : members_) {
+            each.heard_at += now - last_event_;
+        }
+    }
+    last_event_ = now;
+}
+
+void fleet_members::expire(time_point now)
+{
+    const auto silence = [&](const member& each) { return now - each.heard_at; };
+    const auto heard =
+        std::ranges::count_if(members_, [&](const auto& each) { return silence(each.second) < lifetime; });
+    const bool is_minority = static_cast<std::size_t>(heard + 1) * 2 <= members_.size() + 1;
+    const auto base = is_minority ? minority_lifetime : lifetime;
+    const auto removed = std::erase_if(members_, [&](const auto& each) {
+        return silence(each.second) >= std::max<duration>(base, each.second.next_in * report_intervals);
+    });
+    revision_ += removed;
+}
+
+bool fleet_members::has_joined(time_point now) const
+{
+    if (joining_since_ == never) {
+        return false;
+    }
+    const auto joining_for = now - joining_since_;
+    const auto alive = members_.size() + 1;
+    const auto needed = alive >= registered_      ? min_join_time
+                        : alive * 2 > registered_ ? max_join_time
+                                                  : minority_lifetime;
+    return joining_for >= needed;
+}
+
+std::vector<std::string> fleet_members::others() const
+{
+    std::vector<std::string> result;
+    result.reserve(members_.size());
+    for (const auto& [name, each] : members_) {
+        result.push_back(name);
+    }
+    return result;
+}
+
+} // namespace clementinegap
--- a/routing/load_tracker.h
+++ b/routing/load_tracker.h
@@ -5,6 +5,7 @@
 #include "routing/leaving_upstreams.h"
 #include "routing/prompt_cache_view.h"
 #include "routing/row_source.h"
+#include "routing/upstream_limits.h"
 
 #include <cstdint>
 #include <map>
@@ -52,6 +53,7 @@
     duration next_in{0}; ///< Time until the daemon's next report; larger fleets report less often.
     std::vector<service_speed> speeds{};       ///< Included in some of the reports only.
     std::vector<leave_notice> leave_notices{}; ///< Listed upstreams that announced that they are leaving.
+    std::vector<limit_statement> limits{};     ///< Rate limits that upstreams named.
     relay_status relay{};                      ///< The platform's table rows that the daemon can serve.
 };
 
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -29,7 +29,8 @@
 request_router::request_router(router_settings settings)
     : settings_(std::move(settings)),
       random_(static_cast<std::minstd_rand::result_type>(hash64(settings_.daemon, settings_.incarnation))),
-      placement_(settings_.placement, settings_.assumed_speed), backoffs_(settings_.max_backoff)
+      placement_(settings_.placement, settings_.assumed_speed), backoffs_(settings_.max_backoff),
+      shares_(settings_.daemon)
 {
 }
 
@@ -37,6 +38,7 @@
 {
     now_ = now;
     actions_.clear();
+    members_.on_time(now);
     std::visit([this](const auto& each) { on(each); }, event);
     return actions_;
 }
@@ -80,9 +82,10 @@
 
 upstream_choice request_router::choose(const routed_request& request) const
 {
+    const auto current_gate = gate();
     const choice_view view{load_,         health_, placement_.caches(), settings_.zone,
                            request.tried, now_,    request.short_gap,   placement_.speed(request.service),
-                           &backoffs_};
+                           &current_gate};
     if (request.is_generation()) {
         return placement_.choose(request, view);
     }
@@ -123,6 +126,7 @@
     request.tried.push_back(choice.upstream->id);
     ++request.sends;
     request.is_probe = backoffs_.sent(choice.upstream->id);
+    shares_.sent(choice.upstream->id, now_);
     load_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
     if (request.is_generation()) {
         placement_.sent(request, now_);
@@ -394,6 +398,13 @@
     for (const auto& each : event.report.leave_notices) {
         apply_leave_notice(each, "heard from " + event.report.daemon);
     }
+    members_.on_report(event.report.daemon, event.report.next_in, now_);
+    for (const auto& each : event.report.limits) {
+        if (limits_.merge(each, now_)) {
+            limit_changed(each.upstream, "heard from " + event.report.daemon);
+        }
+    }
+    update_shares();
 }
 
 void request_router::update_partitions()
@@ -414,6 +425,8 @@
     directory_.expire(now_);
     backoffs_.expire(now_);
     limits_.expire(now_);
+    members_.expire(now_);
+    update_shares();
     partitions_outdated_ = true;
     for (const auto& [service, queue] : wait_queues_) {
         send_waiting(service);
@@ -445,6 +458,7 @@
     result.configuration_version = table_ ? table_->version() : 0;
     result.loads = load_.own_loads(backoffs_.in_backoff(now));
     result.leave_notices = directory_.listed_leave_notices();
+    result.limits = limits_.next_statements(now);
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
     result.speeds = placement_.take_speeds();
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -3,6 +3,7 @@
 #include "core/timer_service.h"
 #include "routing/capacity_wait_queue.h"
 #include "routing/crash_watch.h"
+#include "routing/fleet_members.h"
 #include "routing/generation_placement.h"
 #include "routing/load_tracker.h"
 #include "routing/retry_budget.h"
@@ -18,6 +19,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -75,7 +77,7 @@
     void on(const directory_unreachable& event);
     void on(const directory_reachable& event);
     void on(const load_reported& event);
-    void on(const fleet_size_known& event) { registered_daemons_ = event.daemons; }
+    void on(const fleet_size_known& event);
     void on(const drain_begun& event);
     void on(const tick&);
 
@@ -85,12 +87,20 @@
     bool may_send_again(routed_request& request, const send_failed& event);
     void give_up(routed_request& request, send_fault fault, bool response_begun);
     void apply_limit(const upstream_notice& event);
-    void log_limit(std::string_view upstream, const std::string& source);
+    /// The known limit of the upstream has changed.
+    void limit_changed(std::string_view upstream, const std::string& source);
+    /// Recomputes this daemon's shares of limits if an input has changed since the last time.
+    void update_shares();
+    send_gate gate() const { return {backoffs_, shares_}; }
     void apply_leave_notice(const leave_notice& value, const std::string& source);
     /// Queues a request until an upstream of its service accepts requests again.
     /// \returns false if waiting would not help.
     bool wait_for_capacity(routed_request& request);
+    /// How many requests before or with this one can be sent in time for it to end.
+    std::size_t places_for(const routed_request& request, const service_availability& availability);
     void stop_waiting(routed_request& request);
+    /// Refuses the queued requests that can no longer be sent in time.
+    void refuse_overdue(const std::string& service);
     /// Sends the queued requests of this service as far as its upstreams accept them.
     void send_waiting(const std::string& service);
     void end_probe(routed_request& request, probe_result how);
@@ -123,6 +133,8 @@
     crash_watch crashes_;
     upstream_backoffs backoffs_;
     upstream_limits limits_;
+    fleet_members members_;
+    limit_shares shares_;
     std::map<std::string, capacity_wait_queue, std::less<>> wait_queues_; ///< By service.
     std::map<std::string, retry_budget, std::less<>> budgets_;
     /// Smoothed response time of plain requests.
@@ -131,6 +143,9 @@
     std::vector<router_action> actions_;
     std::size_t registered_daemons_{1};
     std::uint64_t report_sequence_{0};
+    /// Inputs of the last computation of the shares: revisions of limits and members, whether this daemon has
+    /// joined.
+    std::tuple<std::uint64_t, std::uint64_t, bool> share_inputs_{};
     bool partitions_outdated_{false};
     std::uint64_t partition_updates_{0};
     time_point drain_deadline_{never};
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -1,5 +1,7 @@
 #include "routing/request_router.h"
 
+#include "routing/scaled_duration.h"
+
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -114,17 +116,40 @@
                              ? limits_.named(event.upstream, *event.limit_per_second, sent_at, now_)
                              : event.tells_limit && limits_.not_named(event.upstream, sent_at, now_);
     if (changed) {
-        log_limit(event.upstream, "told in an answer");
+        limit_changed(event.upstream, "told in an answer");
     }
 }
 
-void request_router::log_limit(std::string_view upstream, const std::string& source)
+void request_router::limit_changed(std::string_view upstream, const std::string& source)
 {
     const auto limit = limits_.at(upstream);
     std::ostringstream text;
     text << "per_second " << (limit ? *limit : 0.0);
     actions_.emplace_back(log_decision{"upstream.limit", "", std::string(upstream),
                                        (limit ? text.str() : "ended") + " " + source});
+    update_shares();
+    if (limit) {
+        actions_.emplace_back(recall_unsent{std::string(upstream)});
+        return;
+    }
+    const auto listed = directory_.find(upstream);
+    if (listed && wait_queues_.contains(listed->service)) {
+        send_waiting(listed->service);
+    }
+}
+
+void request_router::update_shares()
+{
+    const std::tuple inputs(limits_.revision(), members_.revision(), members_.has_joined(now_));
+    if (std::exchange(share_inputs_, inputs) != inputs) {
+        shares_.update(limits_.current(), members_.others(), members_.has_joined(now_), now_);
+    }
+}
+
+void request_router::on(const fleet_size_known& event)
+{
+    registered_daemons_ = event.daemons;
+    members_.set_registered(event.daemons);
 }
 
 void request_router::apply_leave_notice(const leave_notice& value, const std::string& source)
@@ -143,21 +168,18 @@
         return false;
     }
     const auto availability =
-        next_availability(directory_.usable(request.service, now_), request.tried, backoffs_, now_);
-    if (!availability) {
+        next_availability(directory_.usable(request.service, now_), request.tried, gate(), now_);
+    if (!availability || availability->at == never) {
         return false;
     }
     const auto available_in = availability->at - now_;
-    upstream_choice first_available;
-    first_available.expected_wait = available_in;
-    first_available.prefill_tokens = request.prompt.own_tokens();
-    const auto needed = request.is_generation() ? placement_.time_needed(request, first_available)
-                                                : available_in + service_time(request.service);
-    if (now_ + needed > request.ends_at) {
+    const auto places = places_for(request, *availability);
+    auto& queue = wait_queues_[request.service];
+    if (queue.ahead_of(request.number, request.urgency) >= places) {
         return false;
     }
-    auto& queue = wait_queues_[request.service];
-    const auto capacity = std::max<std::size_t>(1, availability->slots / daemons());
+    // By a rate limit, the others have places of their own, which depend on their deadlines.
+    const auto capacity = availability->share > 0 ? queue.size() + 1 : places;
     const auto displaced = queue.add(request.number, request.urgency, capacity);
     if (displaced == request.number) {
         return false;
@@ -177,9 +199,46 @@
         last->second.waiting = false;
         give_up(last->second, send_fault::not_run, last->second.response_begun);
     }
+    if (availability->share > 0) {
+        refuse_overdue(request.service);
+    }
     return true;
 }
 
+std::size_t request_router::places_for(const routed_request& request,
+                                       const service_availability& availability)
+{
+    upstream_choice first_available;
+    first_available.expected_wait = availability.at - now_;
+    first_available.prefill_tokens = request.prompt.own_tokens();
+    const auto needed = request.is_generation()
+                            ? placement_.time_needed(request, first_available)
+                            : first_available.expected_wait + service_time(request.service);
+    const auto latest_start = request.ends_at - (needed - first_available.expected_wait);
+    return latest_start < availability.at ? 0 : availability.places(latest_start, daemons());
+}
+
+void request_router::refuse_overdue(const std::string& service)
+{
+    auto& queue = wait_queues_[service];
+    std::size_t ahead = 0;
+    for (const auto number : queue.in_order()) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end() || !found->second.waiting) {
+            continue;
+        }
+        auto& request = found->second;
+        const auto availability =
+            next_availability(directory_.usable(service, now_), request.tried, gate(), now_);
+        if (!availability || (availability->at != never && ahead < places_for(request, *availability))) {
+            ++ahead;
+            continue;
+        }
+        stop_waiting(request);
+        give_up(request, send_fault::not_run, request.response_begun);
+    }
+}
+
 void request_router::stop_waiting(routed_request& request)
 {
     if (std::exchange(request.waiting, false)) {
@@ -199,7 +258,8 @@
         if (!try_send(request)) {
             give_up(request, send_fault::not_run, request.response_begun);
         } else if (request.waiting) {
-            return; // No upstream accepts the requests behind it either.
+            refuse_overdue(service); // No upstream accepts the requests behind it either.
+            return;
         }
     }
 }
@@ -238,16 +298,23 @@
 duration request_router::retry_after_for(const routed_request& request)
 {
     const auto upstreams = directory_.usable(request.service, now_);
-    const auto availability = next_availability(upstreams, {}, backoffs_, now_);
+    const auto availability = next_availability(upstreams, {}, gate(), now_);
     if (!availability) {
         return jittered(std::max(default_retry_after, request.expected_wait));
     }
+    auto& queue = wait_queues_[request.service];
+    if (availability->slots == 0 && availability->limit > 0) {
+        // Callers come back to any of the daemons, at the rate that all limits together allow.
+        const auto from = availability->at == never ? now_ + default_retry_after : availability->at;
+        const auto rate = availability->limit / static_cast<double>(daemons());
+        return queue.next_retry_after(from, scaled(seconds(1), 1 / rate), random_, now_);
+    }
     const auto interval = request.is_generation()
                               ? placement_.speed(request.service).prefill_time(request.prompt.own_tokens()) /
                                     availability->upstreams
                               : service_time(request.service) / std::max(1U, availability->slots);
-    return wait_queues_[request.service].next_retry_after(
-        availability->at, interval * static_cast<duration::rep>(daemons()), random_, now_);
+    return queue.next_retry_after(availability->at, interval * static_cast<duration::rep>(daemons()), random_,
+                                  now_);
 }
 
 duration request_router::service_time(const std::string& service) const
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -6,7 +6,7 @@
 #include "routing/placement_rule.h"
 #include "routing/prompt.h"
 #include "routing/prompt_cache_view.h"
-#include "routing/upstream_backoffs.h"
+#include "routing/send_gate.h"
 #include "routing/upstream_health.h"
 
 #include <span>
@@ -23,13 +23,13 @@
     std::string_view zone;                 ///< Of this daemon.
     std::span<const std::string> excluded; ///< Ids of upstreams that the request was already sent to.
     time_point now;
-    bool short_gap{false}; ///< Whether the request is of the kind that tolerates the shortest gaps.
-    engine_speed speed{};  ///< Of the candidate engines.
-    const upstream_backoffs* backoffs{nullptr}; ///< nullptr: no upstream is in backoff.
+    bool short_gap{false};          ///< Whether the request is of the kind that tolerates the shortest gaps.
+    engine_speed speed{};           ///< Of the candidate engines.
+    const send_gate* gate{nullptr}; ///< nullptr: no upstream is blocked.
 
     bool is_blocked(std::string_view upstream) const
     {
-        return backoffs != nullptr && backoffs->is_blocked(upstream, now);
+        return gate != nullptr && gate->is_blocked(upstream, now);
     }
 };
 
--- a/routing/upstream_limits.cpp
+++ b/routing/upstream_limits.cpp
@@ -65,6 +65,7 @@
         known = known_.emplace(std::string(upstream), entry{}).first;
     }
     known->second = {revision, per_second, now, per_second ? never : now + ended_retention};
+    ++revision_;
     return true;
 }
 
@@ -85,11 +86,30 @@
     return result;
 }
 
-std::vector<limit_statement> upstream_limits::statements() const
+std::vector<limit_statement> upstream_limits::next_statements(time_point now)
 {
     std::vector<limit_statement> result;
-    for (const auto& [upstream, each] : known_) {
-        result.push_back({upstream, each.revision, each.per_second});
+    const auto add = [&](const auto& known) {
+        result.push_back({known.first, known.second.revision, known.second.per_second});
+    };
+    const auto is_recent = [&](const auto& known) {
+        return now - known.second.known_since < announcement_time;
+    };
+    for (const auto& each : known_) {
+        if (is_recent(each)) {
+            add(each);
+        }
+    }
+    auto next = known_.upper_bound(last_repeated_);
+    std::size_t repeated = 0;
+    for (std::size_t visited = 0; visited < known_.size() && repeated < repeated_statements; ++visited) {
+        next = next == known_.end() ? known_.begin() : next;
+        if (!is_recent(*next)) {
+            add(*next);
+            ++repeated;
+        }
+        last_repeated_ = next->first;
+        ++next;
     }
     return result;
 }
@@ -112,7 +132,7 @@
 
 void upstream_limits::expire(time_point now)
 {
-    std::erase_if(known_, [&](const auto& each) { return each.second.forget_at <= now; });
+    revision_ += std::erase_if(known_, [&](const auto& each) { return each.second.forget_at <= now; });
 }
 
 } // namespace clementinegap
--- a/routing/upstream_limits.h
+++ b/routing/upstream_limits.h
@@ -46,8 +46,11 @@
     std::optional<double> at(std::string_view upstream) const;
     /// The upstreams with a limit, by id.
     std::map<std::string, double, std::less<>> current() const;
-    /// The statements to report to the other daemons, limits that ended recently included.
-    std::vector<limit_statement> statements() const;
+    /// The statements for the next report to the other daemons, limits that ended recently included: those
+    /// that have changed recently, and some of the others in rotation.
+    std::vector<limit_statement> next_statements(time_point now);
+    /// Changes whenever `current` does.
+    std::uint64_t revision() const { return revision_; }
 
     void listed(std::string_view upstream);
     /// The directory no longer lists the upstream.
@@ -64,6 +67,12 @@
     /// Limits the memory that other daemons' reports can use. It is far above the number of upstreams.
     static constexpr std::size_t max_entries = 4096;
 
+    /// A statement is contained in all reports for this long after a change; several reports of a large
+    /// fleet.
+    static constexpr duration announcement_time = seconds(5);
+    /// Limits the size of a report and the time for reading it. The others follow in the next reports.
+    static constexpr std::size_t repeated_statements = 16;
+
     struct entry {
         std::uint32_t revision{0};
         std::optional<double> per_second;
@@ -74,6 +83,8 @@
              time_point now);
 
     std::map<std::string, entry, std::less<>> known_;
+    std::string last_repeated_; ///< The last upstream in the rotation of `next_statements`.
+    std::uint64_t revision_{0};
 };
 
 } // namespace clementinegap
--- a/stand_ins/program/routed_stand_in.cpp
+++ b/stand_ins/program/routed_stand_in.cpp
@@ -18,6 +18,11 @@
 /// For so long SIGUSR2 makes an upstream refuse and ask for a pause; some answers' time.
 constexpr duration refusal_span = milliseconds(1500);
 
+/// For so long SIGHUP makes an upstream name a limit of requests per second; three times the window in which
+/// the platform counts them.
+constexpr duration limit_span = seconds(12);
+constexpr const char* named_limit = "2";
+
 /// Runs an upstream that prints each request it runs or refuses, one a line. SIGUSR1: it says from now on
 /// that it is leaving.
 int run_upstream(std::uint16_t port, duration pace)
@@ -39,11 +44,24 @@
         std::fflush(stdout);
     });
     loop.on_signal(SIGUSR2, [&] { upstream.refuse_until(event_loop::now() + refusal_span); });
+    time_point limited_until = never;
+    loop.on_signal(SIGHUP, [&] {
+        limited_until = event_loop::now() + limit_span;
+        upstream.name_limit(named_limit);
+        std::printf("limit %s\n", named_limit);
+        std::fflush(stdout);
+    });
     if (!upstream.listen(port)) {
         return exit_cannot_listen;
     }
     const std::function<void()> wake = [&] {
         upstream.advance(event_loop::now());
+        if (event_loop::now() >= limited_until) {
+            limited_until = never;
+            upstream.name_limit("");
+            std::printf("unlimited\n");
+            std::fflush(stdout);
+        }
         loop.wake_at(event_loop::now() + step, wake);
     };
     wake();
--- a/stand_ins/routed_upstream.cpp
+++ b/stand_ins/routed_upstream.cpp
@@ -21,8 +21,9 @@
 
 std::string routed_upstream::head_of(int status, const std::string& id, const std::string& more) const
 {
-    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + notices_ + more +
-           "\r\n";
+    const auto limit = limit_.empty() ? "" : "Server-Limit: " + limit_ + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nX-Request-Id: " + id + "\r\n" + notices_ + limit +
+           more + "\r\n";
 }
 
 std::string routed_upstream::whole(int status, const std::string& id, const std::string& more) const
--- a/stand_ins/routed_upstream.h
+++ b/stand_ins/routed_upstream.h
@@ -62,6 +62,8 @@
     }
     /// Says in every answer that it is leaving.
     void begin_to_leave() { notices_ += "Server-Leaving: 1\r\n"; }
+    /// Names this limit of requests per second in every answer; empty: none.
+    void name_limit(std::string per_second) { limit_ = std::move(per_second); }
     /// Adds a header to every answer.
     void add_header(const std::string& line) { notices_ += line + "\r\n"; }
     /// The value of `Retry-After` of `ask_for_pause`.
@@ -102,6 +104,7 @@
 
     duration pace_{0};
     std::string notices_; ///< Header lines of every answer.
+    std::string limit_;   ///< The value of `Server-Limit`; empty: none.
     std::string pause_{"1"};
     time_point refuse_until_{};
     std::vector<paced_answer> paced_;
--- a/tests/router/test_upstream_notices.cpp
+++ b/tests/router/test_upstream_notices.cpp
@@ -126,16 +126,71 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_name_a_rate_limit, ordered_by_use)
+
+BOOST_AUTO_TEST_CASE(serves_callers_elsewhere)
+{
+    upstream.name_limit("0.5");
+    for (int i = 0; i < 30; ++i) {
+        BOOST_TEST(call("/book/x").status == 200);
+    }
+    // It learns the limit with the first response.
+    BOOST_TEST(upstream.seen().size() <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_truthfully_and_serves_at_the_limit_once_it_has_joined_the_fleet)
+{
+    upstream.name_limit("4");
+    other.name_limit("4");
+    while (requests_received() < 2) {
+        BOOST_TEST(call("/book/x").status == 200);
+    }
+    const auto refused = call("/book/x");
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.head.find("Retry-After") != nullptr);
+    BOOST_TEST(requests_received() == 2U);
+    BOOST_TEST(run_until([&] { return call("/book/x").status == 200; }));
+    const auto begin = event_loop::now();
+    const auto before = requests_received();
+    while (event_loop::now() - begin < seconds(2)) {
+        BOOST_TEST(call("/book/x").status == 200);
+    }
+    // Two limits of 4 a second over two seconds, a head start of half a second and one request each.
+    BOOST_TEST(requests_received() - before <= 22U);
+    BOOST_TEST(requests_received() - before >= 8U);
+}
+
+BOOST_AUTO_TEST_CASE(serves_as_before_once_the_limit_has_ended)
+{
+    upstream.name_limit("5");
+    other.name_limit("5");
+    while (requests_received() < 2) {
+        call("/book/x");
+    }
+    upstream.name_limit("");
+    other.name_limit("");
+    BOOST_TEST(run_until([&] { return call("/book/x").status == 200; }));
+    // With one request at a time, the other upstream may not be used, so that its limit does not matter.
+    BOOST_TEST(router.limits().current().size() <= 1U);
+    for (int i = 0; i < 30; ++i) {
+        BOOST_TEST(call("/book/x").status == 200);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(carries_notices_in_its_reports)
 {
     load_report report;
     report.daemon = "entry-1";
     report.loads = {{"u1", {1, 2, 3, 4}}};
     report.leave_notices = {{"u2", 1234567890123}};
+    report.limits = {{"u1", 3, 1.5}, {"u2", 4, std::nullopt}};
     const auto decoded = decode_report(encode_report(report, {}));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((decoded.value().report.loads == report.loads));
     BOOST_TEST((decoded.value().report.leave_notices == report.leave_notices));
+    BOOST_TEST((decoded.value().report.limits == report.limits));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/limit_simulation.cpp
+++ b/tests/routing/limit_simulation.cpp
@@ -301,23 +301,29 @@
     }
 }
 
+void limit_simulation::excuse(std::size_t daemon, time_point until)
+{
+    auto& excused = daemons_[daemon].excused_until;
+    excused = std::max(excused, until + settle_time);
+}
+
 void limit_simulation::restart(std::size_t daemon)
 {
     ++daemons_[daemon].incarnation;
-    daemons_[daemon].excused_until = now_ + settle_time;
+    excuse(daemon, now_);
     start(daemon);
 }
 
 void limit_simulation::freeze(std::size_t daemon, duration span)
 {
     daemons_[daemon].frozen_until = now_ + span;
-    daemons_[daemon].excused_until = now_ + span + settle_time;
+    excuse(daemon, now_ + span);
 }
 
 void limit_simulation::disconnect(std::size_t daemon, duration span)
 {
     daemons_[daemon].disconnected_until = now_ + span;
-    daemons_[daemon].excused_until = now_ + span + settle_time;
+    excuse(daemon, now_ + span);
 }
 
 void limit_simulation::add_daemons(std::size_t count)
--- a/tests/routing/limit_simulation.h
+++ b/tests/routing/limit_simulation.h
@@ -111,6 +111,8 @@
     void exchange_reports(std::size_t from);
     void give(std::size_t index, const router_event& event);
     void on_send(std::size_t index, const send_request& send);
+    /// The daemon is disturbed up to this time.
+    void excuse(std::size_t daemon, time_point until);
     void on_refusal(std::size_t index, const respond_to_caller& refusal);
     void check(const upstream& at);
     double allowed_in_window(const upstream& at) const;
--- a/tests/routing/test_limits_of_fleet.cpp
+++ b/tests/routing/test_limits_of_fleet.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdlib>
+#include <random>
+
 using namespace clementinegap;
 using namespace clementinegap::testing;
 
@@ -57,4 +60,272 @@
     BOOST_TEST(fleet.broken() == "");
 }
 
+BOOST_AUTO_TEST_CASE(is_kept_when_all_upstreams_name_it)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(4));
+    fleet.set_all_limits(2);
+    fleet.pass(seconds(20));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_SUITE(that_changes)
+
+BOOST_AUTO_TEST_CASE(is_followed_when_it_falls)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    for (const double limit : {20.0, 8.0, 3.0, 1.0, 0.0}) {
+        fleet.set_limit(0, limit);
+        fleet.pass(seconds(6));
+    }
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(is_used_when_it_rises)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(1);
+    fleet.pass(seconds(10));
+    fleet.set_all_limits(6);
+    fleet.pass(seconds(5));
+    fleet.take_received(0);
+    fleet.pass(seconds(10));
+    BOOST_TEST(fleet.broken() == "");
+    BOOST_TEST(fleet.take_received(0) > 40U);
+}
+
+BOOST_AUTO_TEST_CASE(is_forgotten_when_it_ends)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(0.5);
+    fleet.pass(seconds(8));
+    fleet.set_all_limits(std::nullopt);
+    // One response of each upstream tells it, two seconds apart at the latest.
+    fleet.pass(seconds(6));
+    const auto refused = fleet.refused();
+    fleet.pass(seconds(5));
+    BOOST_TEST(fleet.refused() == refused);
+    fleet.set_all_limits(2);
+    fleet.pass(seconds(10));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(beside_trouble)
+
+BOOST_AUTO_TEST_CASE(is_kept_while_daemons_restart)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(1);
+    fleet.pass(seconds(5));
+    for (std::size_t daemon = 0; daemon < 4; ++daemon) {
+        fleet.restart(daemon);
+        fleet.pass(seconds(2));
+    }
+    fleet.pass(seconds(8));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_while_a_daemon_is_frozen_and_wakes)
+{
+    for (const auto span : {seconds(3), seconds(20)}) {
+        limit_simulation fleet(small_site());
+        fleet.pass(seconds(3));
+        fleet.set_all_limits(2);
+        fleet.pass(seconds(5));
+        fleet.freeze(1, span);
+        fleet.pass(span + seconds(10));
+        BOOST_TEST(fleet.broken() == "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_while_daemons_are_disconnected_from_each_other)
+{
+    for (const auto span : {seconds(5), seconds(25)}) {
+        limit_simulation fleet(small_site());
+        fleet.pass(seconds(3));
+        fleet.set_all_limits(2);
+        fleet.pass(seconds(5));
+        fleet.disconnect(0, span);
+        fleet.disconnect(2, span);
+        fleet.pass(span + seconds(10));
+        BOOST_TEST(fleet.broken() == "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_while_reports_are_lost)
+{
+    auto plan = small_site();
+    plan.report_loss = 0.5;
+    limit_simulation fleet(plan);
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(1);
+    fleet.pass(seconds(25));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_while_the_fleet_doubles)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(3);
+    fleet.pass(seconds(5));
+    fleet.add_daemons(4);
+    fleet.pass(seconds(12));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(is_used_in_full_after_daemons_have_gone)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(3);
+    fleet.pass(seconds(5));
+    fleet.remove(3);
+    fleet.pass(seconds(20));
+    fleet.take_received(0);
+    fleet.pass(seconds(10));
+    BOOST_TEST(fleet.broken() == "");
+    BOOST_TEST(fleet.take_received(0) >= 24U);
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_by_hundreds_of_daemons_of_which_many_restart_and_join)
+{
+    limit_simulation fleet(large_fleet());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(2);
+    fleet.pass(seconds(5));
+    for (std::size_t daemon = 0; daemon < 200; daemon += 5) {
+        fleet.restart(daemon);
+    }
+    fleet.add_daemons(30);
+    fleet.pass(seconds(6));
+    for (std::size_t daemon = 1; daemon < 200; daemon += 7) {
+        fleet.freeze(daemon, seconds(3));
+    }
+    fleet.pass(seconds(6));
+    BOOST_TEST(fleet.broken() == "");
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_under_random_schedules)
+{
+    // Other seeds can be run by hand with CG_SEED=1000000 CG_RUNS=20000.
+    const char* seed_text = std::getenv("CG_SEED");
+    const char* runs_text = std::getenv("CG_RUNS");
+    const auto first = static_cast<std::uint32_t>(seed_text == nullptr ? 1 : std::atoi(seed_text));
+    const auto runs = static_cast<std::uint32_t>(runs_text == nullptr ? 60 : std::atoi(runs_text));
+    for (std::uint32_t seed = first; seed < first + runs; ++seed) {
+        std::minstd_rand random(seed);
+        const auto pick = [&](std::uint32_t bound) { return static_cast<std::uint32_t>(random() % bound); };
+        auto plan = small_site(pick(2) == 0);
+        plan.seed = seed;
+        plan.daemons = 2 + pick(12);
+        plan.upstreams = 1 + pick(5);
+        plan.requests_per_second = 10 + pick(60);
+        plan.report_loss = pick(3) * 0.1;
+        limit_simulation fleet(plan);
+        fleet.pass(seconds(4));
+        for (int i = 0; i < 20; ++i) {
+            const auto daemon = pick(static_cast<std::uint32_t>(fleet.daemons()));
+            const auto upstream = pick(static_cast<std::uint32_t>(plan.upstreams));
+            const auto change = pick(9);
+            BOOST_TEST_MESSAGE("change " << change << " daemon " << daemon << " upstream " << upstream);
+            switch (change) {
+            case 0:
+                fleet.restart(daemon);
+                break;
+            case 1:
+                fleet.freeze(daemon, milliseconds(200 + pick(6000)));
+                break;
+            case 2:
+                fleet.disconnect(daemon, milliseconds(200 + pick(20000)));
+                break;
+            case 3:
+                fleet.add_daemons(1 + pick(3));
+                break;
+            case 4:
+                fleet.set_limit(upstream, std::nullopt);
+                break;
+            case 5:
+                fleet.set_all_limits(pick(60) * 0.1);
+                break;
+            default:
+                fleet.set_limit(upstream, pick(100) * 0.1);
+                break;
+            }
+            fleet.pass(milliseconds(pick(3000)));
+        }
+        fleet.pass(seconds(5));
+        BOOST_REQUIRE_MESSAGE(fleet.broken().empty(), "seed " << seed << ": " << fleet.broken());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(serves_callers)
+
+BOOST_AUTO_TEST_CASE(with_most_of_what_it_allows)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(2);
+    fleet.pass(seconds(5));
+    for (std::size_t upstream = 0; upstream < 4; ++upstream) {
+        fleet.take_received(upstream);
+    }
+    fleet.pass(seconds(20));
+    for (std::size_t upstream = 0; upstream < 4; ++upstream) {
+        BOOST_TEST(fleet.take_received(upstream) >= 32U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(with_most_of_what_it_allows_in_a_fleet_of_hundreds)
+{
+    limit_simulation fleet(large_fleet());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(3);
+    fleet.pass(seconds(5));
+    std::uint64_t received = 0;
+    for (std::size_t upstream = 0; upstream < 12; ++upstream) {
+        fleet.take_received(upstream);
+    }
+    fleet.pass(seconds(8));
+    for (std::size_t upstream = 0; upstream < 12; ++upstream) {
+        received += fleet.take_received(upstream);
+    }
+    BOOST_TEST(received >= 12U * 3 * 8 * 8 / 10);
+}
+
+BOOST_AUTO_TEST_CASE(elsewhere_while_other_upstreams_name_none)
+{
+    auto plan = small_site();
+    plan.requests_per_second = 30;
+    limit_simulation fleet(plan);
+    fleet.pass(seconds(3));
+    fleet.set_limit(0, 1);
+    fleet.pass(seconds(15));
+    BOOST_TEST(fleet.refused() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(that_come_back_after_a_refusal)
+{
+    auto plan = small_site(true);
+    plan.requests_per_second = 13;
+    limit_simulation fleet(plan);
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(2);
+    fleet.pass(seconds(30));
+    BOOST_TEST(fleet.broken() == "");
+    BOOST_TEST_MESSAGE("arrived " << fleet.arrived() << " refused " << fleet.refused() << " returned "
+                                  << fleet.returned() << " served " << fleet.returned_served());
+    BOOST_TEST(fleet.returned_served() * 2 >= fleet.returned());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -58,11 +58,11 @@
     upstream_limits one;
     upstream_limits two;
     one.named("u", 1, start, start);
-    BOOST_TEST(two.merge(one.statements().front(), start));
-    BOOST_TEST(!two.merge(one.statements().front(), start));
+    BOOST_TEST(two.merge(one.next_statements(start).front(), start));
+    BOOST_TEST(!two.merge(one.next_statements(start).front(), start));
     BOOST_TEST(two.not_named("u", start + seconds(1), start + seconds(1)));
-    BOOST_TEST(!two.merge(one.statements().front(), start + seconds(1)));
-    BOOST_TEST(one.merge(two.statements().front(), start + seconds(1)));
+    BOOST_TEST(!two.merge(one.next_statements(start).front(), start + seconds(1)));
+    BOOST_TEST(one.merge(two.next_statements(start).front(), start + seconds(1)));
     BOOST_TEST(!one.at("u").has_value());
 }
 
@@ -72,7 +72,7 @@
     upstream_limits two;
     one.named("u", 1, start, start);
     two.named("u", 3, start, start);
-    two.merge(one.statements().front(), start);
+    two.merge(one.next_statements(start).front(), start);
     one.merge({"u", 1, 3.0}, start);
     BOOST_TEST(one.at("u").value_or(-1) == 1.0);
     BOOST_TEST(two.at("u").value_or(-1) == 1.0);
