A refusal by rate limits says so in the log and in the explanation of a request

Cause: a request that no upstream accepted was logged as "no upstream can end it in time", the same as one that lacked time, so that an engineer on call could not tell limits from load. Measured: refuse_a_request_at_once_if_the_daemon_has_no_share failed on the detail before; passes. No decision changes.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -262,7 +262,7 @@
     } else if (!request.may_have_run) {
         code = request.sends == 0 ? result_code::no_upstream : result_code::overloaded;
         log("request.refused", request,
-            request.sends + request.unreachable == 0 ? "503 no upstream can end it in time"
+            request.sends + request.unreachable == 0 ? "503 " + unsent_reason(request)
                                                      : "503 after " + std::string(to_string(fault)));
         actions_.emplace_back(respond_to_caller{request.number, 503, code, retry_after_for(request)});
     } else {
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -104,6 +104,8 @@
     /// Sends the queued requests of this service as far as its upstreams accept them.
     void send_waiting(const std::string& service);
     void end_probe(routed_request& request, probe_result how);
+    /// Why a request was not sent to any upstream, for the log.
+    std::string unsent_reason(const routed_request& request) const;
     /// Retry-After for a caller that is refused.
     duration retry_after_for(const routed_request& request);
     duration service_time(const std::string& service) const;
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -295,6 +295,21 @@
     }
 }
 
+std::string request_router::unsent_reason(const routed_request& request) const
+{
+    const auto upstreams = directory_.usable(request.service, now_);
+    const auto availability = next_availability(upstreams, request.tried, gate(), now_);
+    if (!availability) {
+        return "no upstream can end it in time";
+    }
+    std::ostringstream text;
+    text << "no upstream accepts it now";
+    if (availability->limit > 0) {
+        text << ", limits allow " << availability->limit << " per second";
+    }
+    return text.str();
+}
+
 duration request_router::retry_after_for(const routed_request& request)
 {
     const auto upstreams = directory_.usable(request.service, now_);
--- a/tests/observability/test_log_lines.cpp
+++ b/tests/observability/test_log_lines.cpp
@@ -82,6 +82,15 @@
     BOOST_TEST(tells(text, "it needs 5712 ms and its caller waits 5706 ms"));
 }
 
+BOOST_AUTO_TEST_CASE(tells_a_refusal_by_rate_limits)
+{
+    const auto text = explained(line("33.248", "request.refused", "a", "",
+                                     "503 no upstream accepts it now, limits allow 4 per second"),
+                                "a");
+    BOOST_TEST(tells(text, "at the rate limit that it named"));
+    BOOST_TEST(tells(text, "limits allow 4 per second"));
+}
+
 BOOST_AUTO_TEST_CASE(tells_a_crash_of_the_upstream_from_a_single_broken_connection)
 {
     const auto broken = sent("34.000", "a", "u1") +
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -89,7 +89,35 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_CASE(are_logged_when_they_change, router_fixture)
+BOOST_FIXTURE_TEST_SUITE(in_a_router, router_fixture)
+
+BOOST_AUTO_TEST_CASE(recall_sends_without_a_connection)
+{
+    arrive("/book/x");
+    const auto at = sent_to();
+    upstream_notice notice;
+    notice.upstream = at;
+    notice.limit_per_second = 1;
+    give(notice);
+    BOOST_TEST(one<recall_unsent>()->upstream == at);
+}
+
+BOOST_AUTO_TEST_CASE(refuse_a_request_at_once_if_the_daemon_has_no_share)
+{
+    for (const auto* each : {"p1", "p2"}) {
+        upstream_notice notice;
+        notice.upstream = each;
+        notice.limit_per_second = 2;
+        give(notice);
+    }
+    arrive("/book/x");
+    BOOST_TEST(one<respond_to_caller>()->status == 503);
+    BOOST_TEST(one<respond_to_caller>()->retry_after.has_value());
+    BOOST_TEST(all<log_decision>().front().detail ==
+               "503 no upstream accepts it now, limits allow 4 per second");
+}
+
+BOOST_AUTO_TEST_CASE(are_logged_when_they_change)
 {
     const auto request = arrive("/book/x");
     upstream_notice notice;
@@ -106,3 +134,5 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
