A late request stays where it runs if no other upstream accepts it

What callers saw: a lookup whose answer was late was broken off at its upstream and answered 502, when all others were at their rate limit or had asked for a backoff. Change: it is moved only if the choice finds another upstream; the retry budget is not charged otherwise. Evidence: keep_a_late_request_where_it_runs_if_no_other_upstream_accepts_it failed before (stop_send, 502) and passes.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -158,7 +158,8 @@
     }
     auto& request = found->second;
     if (now_ < request.ends_at) {
-        if (!request.response_begun && budget(request.service).take(daemons(), now_)) {
+        const bool can_move = !request.response_begun && choose(request).upstream;
+        if (can_move && budget(request.service).take(daemons(), now_)) {
             health_.failed(request.upstream->id, now_);
             log("request.moved", request, "no answer in time for the objective");
             release(request);
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -117,6 +117,19 @@
                "503 no upstream accepts it now, limits allow 4 per second");
 }
 
+BOOST_AUTO_TEST_CASE(keep_a_late_request_where_it_runs_if_no_other_upstream_accepts_it)
+{
+    const auto request = arrive("/look/x");
+    upstream_notice notice;
+    notice.upstream = sent_to() == "p1" ? "p2" : "p1";
+    notice.limit_per_second = 1;
+    give(notice);
+    pass(milliseconds(200));
+    BOOST_TEST(all<stop_send>().empty());
+    give(request_completed{request, false});
+    BOOST_TEST((one<measure_request>()->code == result_code::ok));
+}
+
 BOOST_AUTO_TEST_CASE(are_logged_when_they_change)
 {
     const auto request = arrive("/book/x");
