Only a new or stricter limit takes back sends without a connection

Cause: every change of a known limit recalled them, a looser one too, which costs a connection and a choice for nothing. Change: recall_unsent only if the upstream had no limit or a looser one. Measured: tests of routing pass (149 cases).

--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -123,12 +123,13 @@
 void request_router::limit_changed(std::string_view upstream, const std::string& source)
 {
     const auto limit = limits_.at(upstream);
+    const auto before = shares_.limit(upstream);
     std::ostringstream text;
     text << "per_second " << (limit ? *limit : 0.0);
     actions_.emplace_back(log_decision{"upstream.limit", "", std::string(upstream),
                                        (limit ? text.str() : "ended") + " " + source});
     update_shares();
-    if (limit) {
+    if (limit && (!before || *limit < *before)) {
         actions_.emplace_back(recall_unsent{std::string(upstream)});
         return;
     }
