Waiting requests get an upstream's turn before a request that has just arrived

What callers saw: an urgent request that waited for a turn could lose it to a newer, less urgent one that was read from the network between the turn and the router's timer. Cause: a new request was tried at once, without regard to the queue of its service. Change: a new request first lets the queue send what it can. Evidence: give_a_turn_to_the_most_urgent_waiting_request_before_a_new_one failed before (request 5 was sent, not 3) and passes.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -74,6 +74,10 @@
         placement_.count_demand(request, now_);
         request.short_gap = placement_.has_shortest_gap(request);
     }
+    if (const auto queue = wait_queues_.find(request.service);
+        queue != wait_queues_.end() && !queue->second.empty()) {
+        send_waiting(request.service);
+    }
     auto& stored = requests_[event.request] = std::move(request);
     if (!try_send(stored)) {
         give_up(stored, send_fault::unreachable, false);
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <vector>
+
 using namespace clementinegap;
 using namespace clementinegap::testing;
 
@@ -117,6 +119,33 @@
                "503 no upstream accepts it now, limits allow 4 per second");
 }
 
+BOOST_AUTO_TEST_CASE(give_a_turn_to_the_most_urgent_waiting_request_before_a_new_one)
+{
+    give(fleet_size_known{1});
+    for (int i = 0; i < 10; ++i) {
+        pass(milliseconds(250)); // It counts itself as a member of the fleet by then.
+    }
+    for (const auto* each : {"p1", "p2"}) {
+        upstream_notice notice;
+        notice.upstream = each;
+        notice.limit_per_second = 5;
+        give(notice);
+    }
+    std::vector<request_number> waiting;
+    while (waiting.size() < 2) {
+        const auto request = arrive("/book/x");
+        if (sent_to().empty()) {
+            BOOST_TEST(all<respond_to_caller>().empty());
+            waiting.push_back(request);
+        }
+    }
+    // The next turn has come, and a new request is processed before the timer that it set.
+    now += milliseconds(250);
+    arrive("/book/x");
+    BOOST_REQUIRE(!all<send_request>().empty());
+    BOOST_TEST(all<send_request>().front().request == waiting.front());
+}
+
 BOOST_AUTO_TEST_CASE(keep_a_late_request_where_it_runs_if_no_other_upstream_accepts_it)
 {
     const auto request = arrive("/look/x");
