Prompt parts may be copied from an engine that is at its rate limit

What callers saw: the shared parts of a session whose engine had named a limit were read again at the next engine, though they could have been copied in a fraction of the time. Cause: the new send gate was asked for copies too. Change: only a backoff keeps from copying. Evidence: do_not_keep_others_from_copying_prompt_parts failed before (no copy_from) and passes.

--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -114,7 +114,7 @@
     for (const auto& holder : caches_.holders(request.prompt, view.now)) {
         const auto found =
             std::ranges::find(engines, holder, [](const upstream_ptr& each) { return each->id; });
-        if (found != engines.end() && !view.health.avoided(holder, view.now) && !view.is_blocked(holder)) {
+        if (found != engines.end() && !view.health.avoided(holder, view.now) && view.may_copy_from(holder)) {
             return {*found, caches_.missing_tokens(holder, request.prompt, view.now), rate};
         }
     }
--- a/routing/send_gate.h
+++ b/routing/send_gate.h
@@ -21,6 +21,12 @@
     {
         return backoffs_.is_blocked(upstream, now) || limits_.is_blocked(upstream, now);
     }
+    /// Whether prompt parts may be copied from the upstream. A copy is not a request, so it does not count
+    /// towards a rate limit.
+    bool may_copy_from(std::string_view upstream, time_point now) const
+    {
+        return !backoffs_.is_blocked(upstream, now);
+    }
     /// When a blocked upstream accepts a request, as estimated; `never` if this daemon has no share of its
     /// limit, nothing if it is not blocked.
     std::optional<time_point> available_at(std::string_view upstream, time_point now) const
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -31,6 +31,10 @@
     {
         return gate != nullptr && gate->is_blocked(upstream, now);
     }
+    bool may_copy_from(std::string_view upstream) const
+    {
+        return gate == nullptr || gate->may_copy_from(upstream, now);
+    }
 };
 
 /// The chosen upstream for a request and what is expected there.
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -159,6 +159,25 @@
     BOOST_TEST((one<measure_request>()->code == result_code::ok));
 }
 
+BOOST_AUTO_TEST_CASE(do_not_keep_others_from_copying_prompt_parts)
+{
+    give(configuration_received{table(2, 200)});
+    const auto first = arrive_generation("/draft/x", 42, 500, 6000);
+    const auto holder = sent_to();
+    give(first_event_seen{first});
+    give(request_completed{first, false});
+    upstream_notice notice;
+    notice.upstream = holder;
+    notice.limit_per_second = 1;
+    give(notice);
+    arrive_generation("/draft/x", 42, 500, 6000);
+    const auto send = one<send_request>();
+    BOOST_REQUIRE(send.has_value());
+    BOOST_TEST(send->upstream->id != holder);
+    BOOST_REQUIRE(send->copy_from != nullptr);
+    BOOST_TEST(send->copy_from->id == holder);
+}
+
 BOOST_AUTO_TEST_CASE(are_logged_when_they_change)
 {
     const auto request = arrive("/book/x");
