A daemon that was suspended gives up its shares of rate limits before it handles anything

What upstreams saw: an entry that woke after its share had passed to others could send a request or two by its old share, until its next quarter-second check. Found by reading the diff. Cause: a suspension was noticed on any event, but the shares were computed again only by the check and by reports. Change: on_time says that the process was suspended, and the router recomputes the shares before the event.

--- a/routing/fleet_members.cpp
+++ b/routing/fleet_members.cpp
@@ -1,6 +1,7 @@
 #include "routing/fleet_members.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinegap {
 
@@ -15,17 +16,21 @@
     known->second = {now, next_in};
 }
 
-void fleet_members::on_time(time_point now)
+bool fleet_members::on_time(time_point now)
 {
+    const auto gap = now - std::exchange(last_event_, now);
     if (joining_since_ == never) {
         joining_since_ = now;
-    } else if (now - last_event_ > suspension_threshold) {
-        joining_since_ = now;
-        for (auto& [name, each] : members_) {
-            each.heard_at += now - last_event_;
-        }
+        return false;
+    }
+    if (gap <= suspension_threshold) {
+        return false;
+    }
+    joining_since_ = now;
+    for (auto& [name, each] : members_) {
+        each.heard_at += gap;
     }
-    last_event_ = now;
+    return true;
 }
 
 void fleet_members::expire(time_point now)
--- a/routing/fleet_members.h
+++ b/routing/fleet_members.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -20,9 +21,10 @@
     void on_report(std::string_view daemon, duration next_in, time_point now);
     /// Number of registered daemons, including this one; fewer may be alive.
     void set_registered(std::size_t daemons) { registered_ = daemons; }
-    /// To be called before other events are processed. A process that was suspended knows too little of the
-    /// other daemons to count itself as a member.
-    void on_time(time_point now);
+    /// To be called before other events are processed.
+    /// \returns whether this process was suspended. It then knows too little of the other daemons to count
+    /// itself as a member.
+    bool on_time(time_point now);
     void expire(time_point now);
 
     /// Whether this daemon counts itself as a member. The others need to have received its reports by then,
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -38,7 +38,9 @@
 {
     now_ = now;
     actions_.clear();
-    members_.on_time(now);
+    if (members_.on_time(now)) {
+        update_shares();
+    }
     std::visit([this](const auto& each) { on(each); }, event);
     return actions_;
 }
