Statements of rate limits end with their upstream

What operators would have seen: after thousands of upstreams with limits had come and gone, entries would have refused to learn new limits, since their table was full. Cause: a limit heard of in a report after the upstream had left the directory was kept for ever, and entries reminded each other of it. Change: a statement knows whether the directory lists its upstream; others are forgotten after 120 s and not reported. Besides: waiting requests are refused early only where rate limits bind, as before for backoffs; names and comments. Evidence: are_forgotten_by_all_once_the_upstream_is_gone; tests of routing, platform, router and observability pass.

--- a/observability/routed_explanation.cpp
+++ b/observability/routed_explanation.cpp
@@ -147,9 +147,8 @@
         return "it was refused, because no upstream was listed that could begin it in time";
     }
     if (end.record.detail.find("no upstream accepts it now") != std::string::npos) {
-        return "it was refused, because each upstream of its service had asked for a pause or was at the "
-               "rate limit that "
-               "it named (" +
+        return "it was refused, because each upstream of its service had asked for a pause "
+               "or was at the rate limit that it named (" +
                end.record.detail + ")";
     }
     return "it was refused: " + end.record.detail;
--- a/routing/capacity_wait_queue.h
+++ b/routing/capacity_wait_queue.h
@@ -22,11 +22,12 @@
 struct service_availability {
     /// When the first of them accepts a request; `never` if this daemon has no share of any of their limits.
     time_point at{never};
-    std::uint32_t upstreams{
-        0};                 ///< Number of upstreams without a rate limit that accept requests at that time.
-    std::uint32_t slots{0}; ///< Sum of their slots.
-    double share{0};        ///< Requests per second that this daemon may send to the upstreams with a limit.
-    double limit{0};        ///< Requests per second that all daemons may send to them.
+    /// Number of upstreams without a rate limit that accept requests at that time, and the sum of their
+    /// slots.
+    std::uint32_t upstreams{0};
+    std::uint32_t slots{0};
+    double share{0}; ///< Requests per second that this daemon may send to the upstreams with a limit.
+    double limit{0}; ///< Requests per second that all daemons may send to them.
 
     /// How many waiting requests this daemon can send up to `latest_start`.
     /// \param daemons number of daemons that use the service.
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -407,7 +407,7 @@
     }
     members_.on_report(event.report.daemon, event.report.next_in, now_);
     for (const auto& each : event.report.limits) {
-        if (limits_.merge(each, now_)) {
+        if (limits_.merge(each, directory_.find(each.upstream) != nullptr, now_)) {
             limit_changed(each.upstream, "heard from " + event.report.daemon);
         }
     }
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -99,7 +99,7 @@
     /// How many requests before or with this one can be sent in time for it to end.
     std::size_t places_for(const routed_request& request, const service_availability& availability);
     void stop_waiting(routed_request& request);
-    /// Refuses the queued requests that can no longer be sent in time.
+    /// Refuses the queued requests that cannot be sent in time any more, because of rate limits.
     void refuse_overdue(const std::string& service);
     /// Sends the queued requests of this service as far as its upstreams accept them.
     void send_waiting(const std::string& service);
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -112,9 +112,11 @@
     const auto answered = requests_.find(event.request);
     const bool known = answered != requests_.end() && answered->second.upstream;
     const auto sent_at = known ? answered->second.sent_at : time_point{};
-    const bool changed = event.limit_per_second
-                             ? limits_.named(event.upstream, *event.limit_per_second, sent_at, now_)
-                             : event.tells_limit && limits_.not_named(event.upstream, sent_at, now_);
+    const bool is_listed = directory_.find(event.upstream) != nullptr;
+    const bool changed =
+        event.limit_per_second
+            ? limits_.named(event.upstream, *event.limit_per_second, sent_at, is_listed, now_)
+            : event.would_name_limit && limits_.not_named(event.upstream, sent_at, now_);
     if (changed) {
         limit_changed(event.upstream, "told in an answer");
     }
@@ -200,9 +202,7 @@
         last->second.waiting = false;
         give_up(last->second, send_fault::not_run, last->second.response_begun);
     }
-    if (availability->share > 0) {
-        refuse_overdue(request.service);
-    }
+    refuse_overdue(request.service);
     return true;
 }
 
@@ -231,7 +231,8 @@
         auto& request = found->second;
         const auto availability =
             next_availability(directory_.usable(service, now_), request.tried, gate(), now_);
-        if (!availability || (availability->at != never && ahead < places_for(request, *availability))) {
+        const bool is_limited = availability && availability->limit > 0;
+        if (!is_limited || (availability->at != never && ahead < places_for(request, *availability))) {
             ++ahead;
             continue;
         }
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -55,7 +55,7 @@
     /// Requests per second that it accepts from all daemons together; nothing: it names no limit.
     std::optional<double> limit_per_second{};
     /// Whether the response would name a limit if there were one, so that a missing limit has ended.
-    bool tells_limit{false};
+    bool would_name_limit{false};
     request_number request{0}; ///< The request that was responded to; 0: an unknown one.
 };
 
--- a/routing/upstream_limits.cpp
+++ b/routing/upstream_limits.cpp
@@ -12,11 +12,12 @@
 
 } // namespace
 
-bool upstream_limits::named(std::string_view upstream, double per_second, time_point sent_at, time_point now)
+bool upstream_limits::named(std::string_view upstream, double per_second, time_point sent_at, bool is_listed,
+                            time_point now)
 {
     const auto known = known_.find(upstream);
     if (known == known_.end()) {
-        return set(upstream, 1, per_second, now);
+        return set({std::string(upstream), 1, per_second}, is_listed, now);
     }
     const auto& current = known->second;
     if (current.per_second == per_second) {
@@ -25,7 +26,7 @@
     if (!is_stricter(per_second, current.per_second) && sent_at < current.known_since) {
         return false;
     }
-    return set(upstream, current.revision + 1, per_second, now);
+    return set({std::string(upstream), current.revision + 1, per_second}, is_listed, now);
 }
 
 bool upstream_limits::not_named(std::string_view upstream, time_point sent_at, time_point now)
@@ -34,14 +35,15 @@
     if (known == known_.end() || !known->second.per_second || sent_at < known->second.known_since) {
         return false;
     }
-    return set(upstream, known->second.revision + 1, std::nullopt, now);
+    const auto& current = known->second;
+    return set({std::string(upstream), current.revision + 1, std::nullopt}, current.is_listed, now);
 }
 
-bool upstream_limits::merge(const limit_statement& value, time_point now)
+bool upstream_limits::merge(const limit_statement& value, bool is_listed, time_point now)
 {
     const auto known = known_.find(value.upstream);
     if (known == known_.end()) {
-        return set(value.upstream, value.revision, value.per_second, now) && value.per_second.has_value();
+        return set(value, is_listed, now) && value.per_second.has_value();
     }
     const auto& current = known->second;
     const bool is_newer = value.revision > current.revision;
@@ -51,20 +53,22 @@
         return false;
     }
     const bool differs = value.per_second != current.per_second;
-    return set(value.upstream, value.revision, value.per_second, now) && differs;
+    return set(value, is_listed, now) && differs;
 }
 
-bool upstream_limits::set(std::string_view upstream, std::uint32_t revision, std::optional<double> per_second,
-                          time_point now)
+bool upstream_limits::set(const limit_statement& value, bool is_listed, time_point now)
 {
-    auto known = known_.find(upstream);
+    auto known = known_.find(value.upstream);
     if (known == known_.end()) {
         if (known_.size() >= max_entries) {
             return false;
         }
-        known = known_.emplace(std::string(upstream), entry{}).first;
+        known = known_.emplace(value.upstream, entry{}).first;
     }
-    known->second = {revision, per_second, now, per_second ? never : now + ended_retention};
+    const auto forget_at = !value.per_second ? now + ended_retention
+                           : is_listed       ? never
+                                             : now + unlisted_retention;
+    known->second = {value.revision, value.per_second, now, is_listed, forget_at};
     ++revision_;
     return true;
 }
@@ -96,7 +100,7 @@
         return now - known.second.known_since < announcement_time;
     };
     for (const auto& each : known_) {
-        if (is_recent(each)) {
+        if (each.second.is_listed && is_recent(each)) {
             add(each);
         }
     }
@@ -104,7 +108,7 @@
     std::size_t repeated = 0;
     for (std::size_t visited = 0; visited < known_.size() && repeated < repeated_statements; ++visited) {
         next = next == known_.end() ? known_.begin() : next;
-        if (!is_recent(*next)) {
+        if (next->second.is_listed && !is_recent(*next)) {
             add(*next);
             ++repeated;
         }
@@ -117,7 +121,11 @@
 void upstream_limits::listed(std::string_view upstream)
 {
     const auto known = known_.find(upstream);
-    if (known != known_.end() && known->second.per_second) {
+    if (known == known_.end()) {
+        return;
+    }
+    known->second.is_listed = true;
+    if (known->second.per_second) {
         known->second.forget_at = never;
     }
 }
@@ -125,9 +133,11 @@
 void upstream_limits::unlisted(std::string_view upstream, time_point now)
 {
     const auto known = known_.find(upstream);
-    if (known != known_.end()) {
-        known->second.forget_at = std::min(known->second.forget_at, now + unlisted_retention);
+    if (known == known_.end()) {
+        return;
     }
+    known->second.is_listed = false;
+    known->second.forget_at = std::min(known->second.forget_at, now + unlisted_retention);
 }
 
 void upstream_limits::expire(time_point now)
--- a/routing/upstream_limits.h
+++ b/routing/upstream_limits.h
@@ -33,21 +33,24 @@
 public:
     /// A response named a limit.
     /// \param sent_at when its request was sent.
+    /// \param is_listed whether the directory lists the upstream.
     /// \returns whether the known limit has changed.
-    bool named(std::string_view upstream, double per_second, time_point sent_at, time_point now);
+    bool named(std::string_view upstream, double per_second, time_point sent_at, bool is_listed,
+               time_point now);
     /// A successful response named no limit.
     /// \returns whether a limit has ended.
     bool not_named(std::string_view upstream, time_point sent_at, time_point now);
     /// Another daemon reported a statement.
     /// \returns whether the known limit has changed.
-    bool merge(const limit_statement& value, time_point now);
+    bool merge(const limit_statement& value, bool is_listed, time_point now);
 
     /// Requests per second; nothing: no limit is known.
     std::optional<double> at(std::string_view upstream) const;
     /// The upstreams with a limit, by id.
     std::map<std::string, double, std::less<>> current() const;
     /// The statements for the next report to the other daemons, limits that ended recently included: those
-    /// that have changed recently, and some of the others in rotation.
+    /// that have changed recently, and some of the others in rotation. Only listed upstreams are reported;
+    /// otherwise daemons would remind each other of those that are gone.
     std::vector<limit_statement> next_statements(time_point now);
     /// Changes whenever `current` does.
     std::uint64_t revision() const { return revision_; }
@@ -77,10 +80,10 @@
         std::uint32_t revision{0};
         std::optional<double> per_second;
         time_point known_since;
+        bool is_listed{true};
         time_point forget_at{never};
     };
-    bool set(std::string_view upstream, std::uint32_t revision, std::optional<double> per_second,
-             time_point now);
+    bool set(const limit_statement& value, bool is_listed, time_point now);
 
     std::map<std::string, entry, std::less<>> known_;
     std::string last_repeated_; ///< The last upstream in the rotation of `next_statements`.
--- a/tests/platform/test_notice_headers.cpp
+++ b/tests/platform/test_notice_headers.cpp
@@ -160,18 +160,18 @@
     for (const auto* value : {"", "many", "-1", "1x", "nan", "inf", "\x01"}) {
         const auto notice = notice_of(200, {{"Server-Limit", value}, {"X-Response-Seal", "s"}});
         BOOST_TEST(!notice.limit_per_second);
-        BOOST_TEST(!notice.tells_limit);
+        BOOST_TEST(!notice.would_name_limit);
         BOOST_TEST(!notice.unreadable.empty());
     }
 }
 
 BOOST_AUTO_TEST_CASE(has_ended_only_if_a_sealed_success_names_none)
 {
-    BOOST_TEST(notice_of(200, {{"X-Response-Seal", "s"}}).tells_limit);
-    BOOST_TEST(!notice_of(200, {}).tells_limit);
-    BOOST_TEST(!notice_of(500, {{"X-Response-Seal", "s"}}).tells_limit);
-    BOOST_TEST(!notice_of(503, {{"X-Not-Executed", "1"}}).tells_limit);
-    BOOST_TEST(!notice_of(421, {{"X-Instance-Id", "other"}, {"X-Response-Seal", "s"}}).tells_limit);
+    BOOST_TEST(notice_of(200, {{"X-Response-Seal", "s"}}).would_name_limit);
+    BOOST_TEST(!notice_of(200, {}).would_name_limit);
+    BOOST_TEST(!notice_of(500, {{"X-Response-Seal", "s"}}).would_name_limit);
+    BOOST_TEST(!notice_of(503, {{"X-Not-Executed", "1"}}).would_name_limit);
+    BOOST_TEST(!notice_of(421, {{"X-Instance-Id", "other"}, {"X-Response-Seal", "s"}}).would_name_limit);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/limit_simulation.cpp
+++ b/tests/routing/limit_simulation.cpp
@@ -174,7 +174,7 @@
     notice.incarnation = 1;
     notice.request = value.request;
     notice.limit_per_second = at.limit;
-    notice.tells_limit = true;
+    notice.would_name_limit = true;
     const std::vector<router_event> events = {notice, first_event_seen{value.request},
                                               request_completed{value.request, false}};
     if (!runs(one)) {
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace clementinegap;
@@ -15,8 +17,8 @@
 BOOST_AUTO_TEST_CASE(hold_until_a_later_response_names_none)
 {
     upstream_limits limits;
-    BOOST_TEST(limits.named("u", 2, start, start));
-    BOOST_TEST(!limits.named("u", 2, start, start + seconds(1)));
+    BOOST_TEST(limits.named("u", 2, start, true, start));
+    BOOST_TEST(!limits.named("u", 2, start, true, start + seconds(1)));
     BOOST_TEST(limits.at("u").value_or(-1) == 2.0);
     // The response to a request that was sent before the limit became known may be older than the limit.
     BOOST_TEST(!limits.not_named("u", start - seconds(1), start + seconds(1)));
@@ -28,18 +30,18 @@
 BOOST_AUTO_TEST_CASE(become_stricter_at_once_and_looser_later)
 {
     upstream_limits limits;
-    limits.named("u", 4, start, start);
-    BOOST_TEST(limits.named("u", 1, start - seconds(1), start + seconds(1)));
-    BOOST_TEST(!limits.named("u", 4, start, start + seconds(2)));
+    limits.named("u", 4, start, true, start);
+    BOOST_TEST(limits.named("u", 1, start - seconds(1), true, start + seconds(1)));
+    BOOST_TEST(!limits.named("u", 4, start, true, start + seconds(2)));
     BOOST_TEST(limits.at("u").value_or(-1) == 1.0);
-    BOOST_TEST(limits.named("u", 4, start + seconds(1), start + seconds(2)));
+    BOOST_TEST(limits.named("u", 4, start + seconds(1), true, start + seconds(2)));
     BOOST_TEST(limits.at("u").value_or(-1) == 4.0);
 }
 
 BOOST_AUTO_TEST_CASE(are_kept_while_an_entry_may_have_expired_by_mistake)
 {
     upstream_limits limits;
-    limits.named("u", 1, start, start);
+    limits.named("u", 1, start, true, start);
     limits.unlisted("u", start);
     limits.expire(start + seconds(119));
     BOOST_TEST(limits.at("u").has_value());
@@ -59,12 +61,12 @@
 {
     upstream_limits one;
     upstream_limits two;
-    one.named("u", 1, start, start);
-    BOOST_TEST(two.merge(one.next_statements(start).front(), start));
-    BOOST_TEST(!two.merge(one.next_statements(start).front(), start));
+    one.named("u", 1, start, true, start);
+    BOOST_TEST(two.merge(one.next_statements(start).front(), true, start));
+    BOOST_TEST(!two.merge(one.next_statements(start).front(), true, start));
     BOOST_TEST(two.not_named("u", start + seconds(1), start + seconds(1)));
-    BOOST_TEST(!two.merge(one.next_statements(start).front(), start + seconds(1)));
-    BOOST_TEST(one.merge(two.next_statements(start).front(), start + seconds(1)));
+    BOOST_TEST(!two.merge(one.next_statements(start).front(), true, start + seconds(1)));
+    BOOST_TEST(one.merge(two.next_statements(start).front(), true, start + seconds(1)));
     BOOST_TEST(!one.at("u").has_value());
 }
 
@@ -72,19 +74,54 @@
 {
     upstream_limits one;
     upstream_limits two;
-    one.named("u", 1, start, start);
-    two.named("u", 3, start, start);
-    two.merge(one.next_statements(start).front(), start);
-    one.merge({"u", 1, 3.0}, start);
+    one.named("u", 1, start, true, start);
+    two.named("u", 3, start, true, start);
+    two.merge(one.next_statements(start).front(), true, start);
+    one.merge({"u", 1, 3.0}, true, start);
     BOOST_TEST(one.at("u").value_or(-1) == 1.0);
     BOOST_TEST(two.at("u").value_or(-1) == 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(are_forgotten_by_all_once_the_upstream_is_gone)
+{
+    upstream_limits one;
+    upstream_limits two;
+    one.named("u", 1, start, true, start);
+    const auto late = one.next_statements(start).front();
+    one.unlisted("u", start);
+    BOOST_TEST(one.next_statements(start).empty());
+    // A daemon that hears of it after the upstream has left the directory does not report it either.
+    two.merge(late, false, start + seconds(100));
+    BOOST_TEST(two.next_statements(start + seconds(100)).empty());
+    one.expire(start + seconds(121));
+    two.expire(start + seconds(221));
+    BOOST_TEST(one.size() + two.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(are_reported_in_rotation_if_there_are_many)
+{
+    upstream_limits limits;
+    for (int i = 0; i < 100; ++i) {
+        limits.named("u" + std::to_string(i), 1, start, true, start);
+    }
+    BOOST_TEST(limits.next_statements(start).size() == 100U);
+    const auto later = start + seconds(10);
+    std::set<std::string> reported;
+    for (int i = 0; i < 7; ++i) {
+        const auto statements = limits.next_statements(later);
+        BOOST_TEST(statements.size() == 16U);
+        for (const auto& each : statements) {
+            reported.insert(each.upstream);
+        }
+    }
+    BOOST_TEST(reported.size() == 100U);
+}
+
 BOOST_AUTO_TEST_CASE(are_bounded_regardless_of_reports)
 {
     upstream_limits limits;
     for (int i = 0; i < 10000; ++i) {
-        limits.merge({"u" + std::to_string(i), 1, 1.0}, start);
+        limits.merge({"u" + std::to_string(i), 1, 1.0}, true, start);
     }
     BOOST_TEST(limits.size() == 4096U);
 }
