A limit that falls does not pause its sharers for the requests of the former limit

What callers saw: when a limit fell from 100 to 1 a second, a sharer that had just used its head start sent nothing for 50 s. Cause: the time until the next turn was scaled with the interval, so that requests allowed by the old limit were charged at the new one. Change: the next turn keeps its time, and comes no later than the new interval asks. Evidence: follow_a_change_of_the_limit_without_a_long_pause failed before (0 sends in 4 s) and passes; the bound per sharer, 4.5 r + 1 in 4 s, holds from the change on. Tests of shares and members stand with it.

--- a/routing/limit_shares.cpp
+++ b/routing/limit_shares.cpp
@@ -34,7 +34,7 @@
             continue;
         }
         if (before > 0) {
-            each.next = now + scaled(std::max(duration::zero(), each.next - now), before / each.share);
+            each.next = std::min(each.next, now + head_start + interval_of(each.share));
         } else {
             // The sharers begin one after the other.
             const auto turn = static_cast<double>(own_rank) / static_cast<double>(sharers);
--- a/routing/limit_shares.h
+++ b/routing/limit_shares.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace clementinegap {
 
