The soak gives no port twice

Cause, from the settings that it wrote and daemon.cannot_listen in e48.log: one entry's caller port was another's readiness port, which answers 404 to all else; the system offers a port again that is not listened at yet. Change: given ports are remembered.

--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -88,9 +88,17 @@
                 pass
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return probe.getsockname()[1]
+    """A port that no process of this soak has been given; the system may offer one again before it is listened at."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 class Deployment:
