The few entries that come back from a loss of power use part of the rate limits at once

What callers would have seen: with most entries gone and one restarted, services whose upstreams all name limits were refused for a minute, since the entry could not tell whether it was alone or cut off. Cause: it counted itself as a member only once it heard most of the registered entries, or after that minute. Change: after 6 s it uses its shares in proportion to the registered entries that it hears. Entries that are cut off from each other thus stay within the limit together. Evidence: is_used_by_the_few_daemons_that_come_back_from_a_loss_of_power is new and passes, as do all 163 tests of routing.

--- a/routing/fleet_members.cpp
+++ b/routing/fleet_members.cpp
@@ -46,17 +46,20 @@
     revision_ += removed;
 }
 
-bool fleet_members::has_joined(time_point now) const
+double fleet_members::portion(time_point now) const
 {
     if (joining_since_ == never) {
-        return false;
+        return 0;
     }
     const auto joining_for = now - joining_since_;
     const auto alive = members_.size() + 1;
-    const auto needed = alive >= registered_      ? min_join_time
-                        : alive * 2 > registered_ ? max_join_time
-                                                  : minority_lifetime;
-    return joining_for >= needed;
+    if (joining_for < (alive >= registered_ ? min_join_time : max_join_time)) {
+        return 0;
+    }
+    const bool is_minority = alive * 2 <= registered_;
+    return is_minority && joining_for < minority_lifetime
+               ? static_cast<double>(alive) / static_cast<double>(registered_)
+               : 1;
 }
 
 std::vector<std::string> fleet_members::others() const
--- a/routing/fleet_members.h
+++ b/routing/fleet_members.h
@@ -27,9 +27,10 @@
     bool on_time(time_point now);
     void expire(time_point now);
 
-    /// Whether this daemon counts itself as a member. The others need to have received its reports by then,
-    /// and it needs theirs, so that they divide a limit alike.
-    bool has_joined(time_point now) const;
+    /// The part of its shares that this daemon may use, 0 to 1. It is 0 until the others have received this
+    /// daemon's reports and it has received theirs, so that they divide a limit alike. As long as it has
+    /// heard only a minority of the registered daemons, it is in proportion to them.
+    double portion(time_point now) const;
     /// The others, by name.
     std::vector<std::string> others() const;
     /// Changes whenever `others` does.
@@ -43,7 +44,8 @@
     static constexpr duration max_join_time = seconds(6);
     /// Longer than most restarts of a VM and most network disturbances.
     static constexpr duration lifetime = seconds(15);
-    /// If most daemons seem to be gone, this one is more likely disconnected from them.
+    /// If most daemons seem to be gone, this one is more likely disconnected from them. After this time they
+    /// are taken as gone.
     static constexpr duration minority_lifetime = seconds(60);
     /// Reports of a large fleet that may be lost one after the other.
     static constexpr int report_intervals = 5;
--- a/routing/limit_shares.cpp
+++ b/routing/limit_shares.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 void limit_shares::update(const std::map<std::string, double, std::less<>>& limits,
-                          std::span<const std::string> others, bool has_joined, time_point now)
+                          std::span<const std::string> others, double portion, time_point now)
 {
     std::erase_if(states_, [&](const auto& each) { return !limits.contains(each.first); });
     for (const auto& [upstream, limit] : limits) {
@@ -28,9 +28,9 @@
         const auto sharers = static_cast<std::size_t>(
             std::min(static_cast<double>(members), std::floor(each.limit) + additional_sharers));
         const auto own_rank = rank(upstream, others);
-        const bool shares = has_joined && own_rank < sharers;
-        const auto before = std::exchange(each.share, shares ? each.limit / static_cast<double>(sharers) : 0);
-        if (!shares || each.share == before) {
+        const auto share = own_rank < sharers ? portion * each.limit / static_cast<double>(sharers) : 0;
+        const auto before = std::exchange(each.share, share);
+        if (share <= 0 || share == before) {
             continue;
         }
         if (before > 0) {
--- a/routing/limit_shares.h
+++ b/routing/limit_shares.h
@@ -28,9 +28,9 @@
     /// Recomputes the shares.
     /// \param limits requests per second, by upstream.
     /// \param others the other daemons.
-    /// \param has_joined whether this daemon takes part; otherwise it has no share of any limit.
+    /// \param portion part of its shares that this daemon may use, 0 to 1.
     void update(const std::map<std::string, double, std::less<>>& limits, std::span<const std::string> others,
-                bool has_joined, time_point now);
+                double portion, time_point now);
 
     /// Whether nothing may be sent to the upstream now.
     bool is_blocked(std::string_view upstream, time_point now) const;
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -145,9 +145,9 @@
     std::vector<router_action> actions_;
     std::size_t registered_daemons_{1};
     std::uint64_t report_sequence_{0};
-    /// Inputs of the last computation of the shares: revisions of limits and members, whether this daemon has
-    /// joined.
-    std::tuple<std::uint64_t, std::uint64_t, bool> share_inputs_{};
+    /// Inputs of the last computation of the shares: revisions of limits and members, and this daemon's
+    /// portion.
+    std::tuple<std::uint64_t, std::uint64_t, double> share_inputs_{};
     bool partitions_outdated_{false};
     std::uint64_t partition_updates_{0};
     time_point drain_deadline_{never};
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -143,9 +143,10 @@
 
 void request_router::update_shares()
 {
-    const std::tuple inputs(limits_.revision(), members_.revision(), members_.has_joined(now_));
+    const auto portion = members_.portion(now_);
+    const std::tuple inputs(limits_.revision(), members_.revision(), portion);
     if (std::exchange(share_inputs_, inputs) != inputs) {
-        shares_.update(limits_.current(), members_.others(), members_.has_joined(now_), now_);
+        shares_.update(limits_.current(), members_.others(), portion, now_);
     }
 }
 
--- a/tests/routing/test_limits_of_fleet.cpp
+++ b/tests/routing/test_limits_of_fleet.cpp
@@ -194,6 +194,24 @@
     BOOST_TEST(fleet.take_received(0) >= 24U);
 }
 
+BOOST_AUTO_TEST_CASE(is_used_by_the_few_daemons_that_come_back_from_a_loss_of_power)
+{
+    limit_simulation fleet(small_site());
+    fleet.pass(seconds(3));
+    fleet.set_all_limits(4);
+    fleet.pass(seconds(5));
+    for (std::size_t daemon = 1; daemon < 4; ++daemon) {
+        fleet.remove(daemon);
+    }
+    fleet.restart(0);
+    fleet.pass(seconds(7));
+    fleet.take_received(0);
+    fleet.pass(seconds(10));
+    BOOST_TEST(fleet.broken() == "");
+    // A quarter of the limit, since it may be cut off from the others.
+    BOOST_TEST(fleet.take_received(0) >= 9U);
+}
+
 BOOST_AUTO_TEST_CASE(is_kept_by_hundreds_of_daemons_of_which_many_restart_and_join)
 {
     limit_simulation fleet(large_fleet());
