--- a/tests/routing/limit_simulation.cpp
+++ b/tests/routing/limit_simulation.cpp
@@ -246,9 +246,9 @@
     check(*found);
 }
 
-void limit_simulation::check(const upstream& at)
+void limit_simulation::check(upstream& at)
 {
-    auto& counted = const_cast<upstream&>(at).counted;
+    auto& counted = at.counted;
     while (!counted.empty() && counted.front() <= now_ - window) {
         counted.pop_front();
     }
@@ -296,7 +296,7 @@
         return;
     }
     const auto deadline = plan_.generations ? draft_deadline : plain_deadline;
-    if (!came_back && *refusal.retry_after <= deadline / max_wait_share) {
+    if (!came_back && *refusal.retry_after <= deadline / wait_divisor) {
         comebacks_.emplace(now_ + *refusal.retry_after, comeback{index});
     }
 }
--- a/tests/routing/limit_simulation.h
+++ b/tests/routing/limit_simulation.h
@@ -70,8 +70,8 @@
     static constexpr duration notice_slack = milliseconds(500);
     static constexpr double allowed_factor = 1.5;
     static constexpr double allowed_extra = 5;
-    /// Callers wait for at most this share of the time that they have.
-    static constexpr int max_wait_share = 3;
+    /// Callers wait for at most the time that they have, divided by this.
+    static constexpr int wait_divisor = 3;
 
     struct daemon {
         std::unique_ptr<request_router> router;
@@ -114,7 +114,7 @@
     /// The daemon is disturbed up to this time.
     void excuse(std::size_t daemon, time_point until);
     void on_refusal(std::size_t index, const respond_to_caller& refusal);
-    void check(const upstream& at);
+    void check(upstream& at);
     double allowed_in_window(const upstream& at) const;
     bool runs(const daemon& one) const { return !one.removed && one.frozen_until <= now_; }
     std::optional<std::size_t> any_running(std::optional<std::size_t> except = std::nullopt);
--- a/tests/routing/test_upstream_limits.cpp
+++ b/tests/routing/test_upstream_limits.cpp
@@ -224,7 +224,7 @@
     notice.request = request;
     notice.limit_per_second = 1.5;
     give(notice);
-    BOOST_REQUIRE(all<log_decision>().size() >= 1U);
+    BOOST_REQUIRE(!all<log_decision>().empty());
     BOOST_TEST(all<log_decision>().front().event == "upstream.limit");
     BOOST_TEST(all<log_decision>().front().detail == "per_second 1.5 told in an answer");
     give(notice);
