--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -49,10 +49,14 @@
 
 
 def free_port():
+    """A port below those that the system gives to outgoing connections, as servers listen at theirs again."""
     while True:
+        port = random.SystemRandom().randint(20_000, 32_000)
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         if port not in _given_ports:
             _given_ports.add(port)
             return port
