--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,7 @@
 ZONES = ("taichung-a", "taichung-b", "changhua-a", "nantou-a")
 SERVERS, REQUESTS_PER_S = 4, 50
 WINDOW_S, RATIO, SLACK = BOUNDS["budget_window_s"], BOUNDS["budget_ratio"], BOUNDS["budget_slack"]
-WARM_UP_S, GREY_SHARE, GREY_S, KILL_AFTER_S = 11, 0.45, 13, 4.0
+WARM_UP_S, GREY_SHARE, GREY_S, KILL_AFTER_S = 11, 0.45, 13, 5.5
 random.seed(49)
 
 
@@ -43,7 +43,7 @@
     await store.start()
     servers = [Server(record, store, "shop-app", f"i-shop{n}", 12, ZONES[n % 4]) for n in range(SERVERS)]
     await store.put("op", "config", configuration(7, [
-        route("order-look", "shop-app", "safe", 1500, 300, 3)], {"shop-app": {}}))
+        route("order-look", "shop-app", "safe", 1500, 300, 2)], {"shop-app": {}}))
     for each in servers:
         await each.start()
     entries.extend(Entry(record, store, f"front-{zone}-1", zone, temporary) for zone in ZONES)
