A stream that waits for capacity no longer ends the entry when an upstream changes its version

Cause: upstream_changed_version read the upstream of each stream that has had an event. A broken stream that waits for capacity has had one and is at no upstream, so a null pointer was read and the process ended with signal 11. Ruled out: memory, closed connections; the router alone shows it, without a network. Change: streams without an upstream are left out and keep the version that began them. The timer that moves a late request, the only other read of the upstream without a check before it, has one now. Test: waits_for_capacity_at_its_version_while_upstreams_restart_with_another; before the fix "memory access violation at address: 0x00000000" (build/bin/test_routing), after it no error.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -196,7 +196,7 @@
     }
     auto& request = found->second;
     if (now_ < request.ends_at) {
-        const bool can_move = !request.response_begun && choose(request).upstream;
+        const bool can_move = request.upstream && !request.response_begun && choose(request).upstream;
         if (can_move && budget(request.service).take(daemons(), now_)) {
             health_.failed(request.upstream->id, now_);
             log("request.moved", request, "no answer in time for the objective");
--- a/routing/request_router_streams.cpp
+++ b/routing/request_router_streams.cpp
@@ -69,9 +69,10 @@
         keep_origin(stream, {listed.service, ""});
     }
     for (auto& [number, request] : requests_) {
-        // The end of the former process has broken its streams off; those that go on are of the new one.
-        if (request.origin && request.first_event && request.upstream->id == listed.id &&
-            !request.continues) {
+        // The end of the former process has broken its streams off; those that go on are of the new one. A
+        // stream that waits for capacity is at no upstream: it keeps the version that began it.
+        const bool is_there = request.upstream && request.upstream->id == listed.id;
+        if (is_there && request.origin && request.first_event && !request.continues) {
             request.origin = stream_origin{listed.service, listed.software_version};
             keep_origin(stream_origins::key_of(request.id), *request.origin);
         }
--- a/tests/routing/test_stream_versions.cpp
+++ b/tests/routing/test_stream_versions.cpp
@@ -54,6 +54,37 @@
     }
 }
 
+// Guards against reading the upstream of a stream that waits for capacity and has none: the daemon ended with
+// a segmentation fault when any upstream restarted with another version meanwhile.
+BOOST_FIXTURE_TEST_CASE(waits_for_capacity_at_its_version_while_upstreams_restart_with_another, two_versions)
+{
+    const auto request = arrive_generation("/ask/x", 1, 500);
+    const auto first = sent_to();
+    BOOST_REQUIRE(!first.empty());
+    give(first_event_seen{request});
+    for (int engine = 1; engine <= 12; ++engine) {
+        give(upstream_notice{"e" + std::to_string(engine), 1, false, seconds(1), ""});
+    }
+    give(send_failed{request, send_fault::lost, true});
+    BOOST_REQUIRE(sent_to().empty());
+    BOOST_REQUIRE(all<abort_caller>().empty());
+    for (const auto& restarted : {first, std::string("e12")}) {
+        auto record = upstream(restarted, "llm");
+        record.incarnation = 2;
+        record.software_version = "v3";
+        give(upstream_listed{record});
+        BOOST_TEST(all<abort_caller>().empty());
+    }
+    std::string second;
+    for (int step = 0; step < 200 && second.empty(); ++step) {
+        pass(milliseconds(10));
+        second = sent_to();
+    }
+    BOOST_REQUIRE(!second.empty());
+    BOOST_TEST(second != first);
+    BOOST_TEST(version_of(second) == version_of(first));
+}
+
 BOOST_FIXTURE_TEST_CASE(is_taken_up_by_its_caller_only_at_the_version_that_began_it, two_versions)
 {
     for (std::uint64_t session = 1; session <= 40; ++session) {
