Answers that end with their connection are reset, not ended in order, when their entry ends

Cause: at the end of a process the system closes its connections in order, which is how the end of such an answer is told. Change: the socket of such an answer is reset by the system when it is closed, until all bytes and the end are passed to it (SO_LINGER). Callers of HTTP/1.0 no longer get chunks. A connection that closes after its answer waits until the caller's bytes are written. Test: that_ends_during_an_answer_without_a_length.

--- a/net/http_message.h
+++ b/net/http_message.h
@@ -23,6 +23,7 @@
     int status{0};      ///< Responses only.
     std::vector<http_header> headers;
     bool keep_alive{true};
+    bool is_http_1_0{false}; ///< Its sender does not understand chunked bodies.
     bool chunked{false};
     std::optional<std::uint64_t> content_length;
 
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -104,6 +104,7 @@
 int http_reader::head_complete()
 {
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    head_.is_http_1_0 = parser_.http_major == 1 && parser_.http_minor == 0;
     head_.chunked = (parser_.flags & F_CHUNKED) != 0;
     if ((parser_.flags & F_CONTENTLENGTH) != 0) {
         head_.content_length = parser_.content_length;
--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -195,6 +195,10 @@
         refuse(408, "request not received before the timeout");
         return;
     case state::closing:
+        if (tcp_.unwritten() > 0) {
+            due_ = now + close_timeout;
+            return;
+        }
         set_closed();
         return;
     case state::handling:
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -41,6 +41,9 @@
 
     /// Sends a part of the response to the request passed to `on_request` last.
     void write(std::string bytes) { tcp_.write(std::move(bytes)); }
+    /// The response in progress ends with its connection. The client gets a reset if this process ends
+    /// before.
+    void reset_unless_ended() { tcp_.reset_unless_ended(); }
     std::size_t unwritten() const { return tcp_.unwritten(); }
     /// Ends the response. \param close whether to close the connection after it.
     void end_response(bool close);
@@ -61,7 +64,7 @@
 
     /// Limit of bytes read ahead of the current request; reading stops above it.
     static constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
-    /// Time for the client to close the connection after its last response.
+    /// Time for the client to close the connection after its last response has been written.
     static constexpr duration close_timeout = seconds(1);
 
     void on_bytes(std::string_view bytes) override;
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -9,7 +9,7 @@
 
 constexpr int listen_backlog = 1024;
 
-void set_option(const uv_tcp_t& handle, int level, int name, int value)
+template <class option> void set_option(const uv_tcp_t& handle, int level, int name, const option& value)
 {
     uv_os_fd_t descriptor = -1;
     if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &descriptor) == 0) {
@@ -18,6 +18,13 @@
     }
 }
 
+/// \param resets whether the system resets the connection when its descriptor is closed, also by the end of
+/// the process.
+void set_reset_by_system(const uv_tcp_t& handle, bool resets)
+{
+    set_option(handle, SOL_SOCKET, SO_LINGER, linger{resets ? 1 : 0, 0});
+}
+
 /// Whether a connection that libuv reports as ended was reset. After a short read libuv reports a hang-up as
 /// end of stream without reading the socket, which hides a reset.
 bool was_reset(const uv_stream_t* stream)
@@ -191,6 +198,14 @@
     }
 }
 
+void tcp_connection::reset_unless_ended()
+{
+    if (closed_reported_) {
+        return;
+    }
+    set_reset_by_system(block_->handle, true);
+}
+
 void tcp_connection::end_writing()
 {
     if (closed_reported_) {
@@ -198,7 +213,13 @@
     }
     auto* request = new uv_shutdown_t;
     const int result = uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&block_->handle),
-                                   [](uv_shutdown_t* done, int) { delete done; });
+                                   [](uv_shutdown_t* done, int status) {
+                                       if (status == 0) {
+                                           const auto* block = static_cast<handle_block*>(done->handle->data);
+                                           set_reset_by_system(block->handle, false);
+                                       }
+                                       delete done;
+                                   });
     if (result != 0) {
         delete request;
     }
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -64,6 +64,10 @@
     void close();
     /// Makes `close` send a reset, so that the peer cannot mistake partial data for complete data.
     void reset_on_close() { reset_on_close_ = true; }
+    /// From now on, the peer gets a reset if this process ends, or the connection is closed, before
+    /// `end_writing` has passed all data to the operating system. Otherwise the system would end the
+    /// connection in order.
+    void reset_unless_ended();
 
 private:
     struct handle_block;
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -127,12 +127,16 @@
         return;
     }
     response_started_ = true;
-    framing_ = unframed_ ? body_framing::until_close : body_framing::chunked;
-    close_after_ = close_after_ || gateway_.stopping() || unframed_;
+    const bool is_until_close = unframed_ || head_.is_http_1_0;
+    framing_ = is_until_close ? body_framing::until_close : body_framing::chunked;
+    close_after_ = close_after_ || gateway_.stopping() || is_until_close;
     if (caller_ != nullptr) {
+        if (is_until_close) {
+            caller_->reset_unless_ended();
+        }
         auto text = encode_answer(response_head_, framing_, 0, close_after_);
         if (!buffered_body_.empty()) {
-            text.append(unframed_ ? buffered_body_ : as_chunk(buffered_body_));
+            text.append(is_until_close ? buffered_body_ : as_chunk(buffered_body_));
             buffered_body_.clear();
         }
         caller_->write(std::move(text));
@@ -219,6 +223,9 @@
         const auto length = without_body && response_head_.content_length ? *response_head_.content_length
                                                                           : buffered_body_.size();
         const auto framing = unframed_ ? body_framing::until_close : body_framing::length;
+        if (unframed_) {
+            caller_->reset_unless_ended();
+        }
         auto text = encode_answer(response_head_, framing, length, close_after_);
         text.append(buffered_body_);
         caller_->write(std::move(text));
--- a/stand_ins/routed_upstream.cpp
+++ b/stand_ins/routed_upstream.cpp
@@ -179,6 +179,20 @@
     case behaviour::stream_unframed_broken:
         stream_unframed_from(from, id, first_event, true);
         return;
+    case behaviour::stream_unframed_open:
+        from.write(head_of(200, id, sealed("Content-Type: text/event-stream\r\nConnection: close\r\n")) +
+                   event_text(first_event));
+        hanging_.push_back(&from);
+        return;
+    case behaviour::no_length_open:
+        from.write(head_of(200, id, sealed()) + std::string(long_answer_bytes, 'a'));
+        hanging_.push_back(&from);
+        return;
+    case behaviour::long_answer:
+        from.write(head_of(200, id, sealed("Content-Length: " + std::to_string(long_answer_bytes) + "\r\n")) +
+                   std::string(long_answer_bytes, 'a'));
+        from.end_response(false);
+        return;
     case behaviour::stream_broken:
         stream_from(from, id, first_event, true);
         return;
--- a/stand_ins/routed_upstream.h
+++ b/stand_ins/routed_upstream.h
@@ -36,6 +36,9 @@
         stream_broken,   ///< A stream that ends in the middle of its third event.
         stream_unframed, ///< A whole stream without a length or chunks, which ends with its connection.
         stream_unframed_broken, ///< The same, closed in the middle of its third event.
+        stream_unframed_open,   ///< The first event of such a stream, and nothing more.
+        no_length_open,         ///< Two megabytes of a 200 without a length, and nothing more.
+        long_answer,            ///< 200 with a body of `long_answer_bytes`.
         late_copy,    ///< 200, and a copy of it at the connection's next request, before that one's answer.
         late_refusal, ///< 503 that it did not run, and a copy of it at the connection's next request.
         late_anonymous_refusal, ///< The same without the id of the request.
@@ -94,6 +97,7 @@
     void clear() { seen_.clear(); }
 
     static constexpr int stream_events = 5;
+    static constexpr std::size_t long_answer_bytes = std::size_t{2} << 20U;
 
 private:
     void on_request(http_server_connection& from, http_head head, std::string body) override;
--- a/tests/router/gateway_fixture.cpp
+++ b/tests/router/gateway_fixture.cpp
@@ -8,7 +8,7 @@
 constexpr duration step_timeout =
     seconds(20); ///< Far above the duration of any step, also on a busy machine.
 
-std::string configuration_text(int version)
+std::string configuration_text(int version, std::size_t body_bytes = 5000)
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[
       {"name":"look","host":"h","prefix":"/look/","kind":"safe","timeout_ms":15000,"goal_ms":14000,"service":"app","max_attempts":2},
@@ -19,7 +19,8 @@
       {"name":"guide","host":"h","prefix":"/guide/","kind":"stream","timeout_ms":15000,"goal_ms":600,"gap_goal_ms":250,
        "service":"app","max_attempts":1}],
      "services":[{"name":"app","health":"/health","max_conns":100,"engine":{"slots":8,"kv_capacity":1000,"stride":3}}],
-     "limits":{"header_bytes":2000,"body_bytes":5000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+     "limits":{"header_bytes":2000,"body_bytes":)" +
+           std::to_string(body_bytes) + R"(,"header_timeout_ms":3000,"idle_timeout_ms":15000},
      "tenants":[{"name":"team","keys":["k"]}]})";
 }
 
@@ -115,18 +116,26 @@
 void gateway_fixture::wake()
 {
     const auto now = event_loop::now();
-    if (router.next_due() <= now) {
-        gateway->post(tick{});
+    if (gateway) {
+        if (router.next_due() <= now) {
+            gateway->post(tick{});
+        }
+        configuration->run(now);
+        directory->run(now);
+        gateway->sweep(now);
     }
-    configuration->run(now);
-    directory->run(now);
-    gateway->sweep(now);
     upstream.advance(now);
     other.advance(now);
     constexpr duration step = milliseconds(5);
     loop.wake_at(event_loop::now() + step, [this] { wake(); });
 }
 
+void gateway_fixture::allow_bodies(std::size_t bytes)
+{
+    store.put("op", "config", configuration_text(2, bytes));
+    run_until([this] { return router.table()->version() == 2; });
+}
+
 bool gateway_fixture::run_until(const std::function<bool()>& done)
 {
     const auto end = event_loop::now() + step_timeout;
--- a/tests/router/gateway_fixture.h
+++ b/tests/router/gateway_fixture.h
@@ -58,6 +58,10 @@
     caller_result call_raw(const std::string& bytes);
     static std::string request(const std::string& path, const std::string& id,
                                const std::string& more_headers, const std::string& body);
+    /// Puts a configuration into force that allows request bodies of this size.
+    void allow_bodies(std::size_t bytes);
+    /// Destroys the gateway in the middle of its work.
+    void end_gateway() { gateway.reset(); }
     /// Requests that reached an upstream.
     std::size_t requests_received() const { return upstream.seen().size() + other.seen().size(); }
 
--- a/tests/router/test_gateway.cpp
+++ b/tests/router/test_gateway.cpp
@@ -210,6 +210,69 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_ends_during_an_answer_without_a_length, gateway_fixture)
+
+// Guards against early ends that look complete: an answer that ends with its connection is complete to its
+// caller when the system closes the connection in order, as it does at the end of a process.
+BOOST_AUTO_TEST_CASE(resets_the_callers_connection)
+{
+    const auto old_request = [](const std::string& path, const std::string& headers) {
+        return "POST " + path + " HTTP/1.0\r\nHost: h\r\nX-Request-Id: old\r\nAuthorization: Bearer k\r\n" +
+               headers + "Content-Length: 1\r\n\r\nx";
+    };
+    const std::pair<behaviour, std::string> plays[] = {
+        {behaviour::stream_unframed_open, request("/guide/x", "new", generation, "b")},
+        {behaviour::stream_unframed_open, old_request("/guide/x", generation)},
+        {behaviour::no_length_open, request("/look/x", "long", "", "b")},
+        {behaviour::no_length_open, old_request("/look/x", "")}};
+    for (const auto& [how, bytes] : plays) {
+        BOOST_TEST_CONTEXT(bytes)
+        {
+            gateway_fixture fresh;
+            script_both(fresh, {how});
+            test_caller caller(fresh.loop, fresh.gateway->port());
+            caller.send(bytes);
+            BOOST_REQUIRE(fresh.run_until([&] { return !caller.result().body.empty(); }));
+            // Closes the descriptors without a word to callers, as the end of the process does.
+            fresh.end_gateway();
+            BOOST_REQUIRE(fresh.run_until([&] { return caller.result().ended || caller.result().failed; }));
+            BOOST_TEST(caller.result().failed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resets_the_connection_of_a_caller_without_chunks_whose_stream_has_chunks)
+{
+    upstream.set_pace(milliseconds(100));
+    other.set_pace(milliseconds(100));
+    test_caller caller(loop, gateway->port());
+    caller.send("POST /guide/x HTTP/1.0\r\nHost: h\r\nX-Request-Id: o\r\nAuthorization: Bearer k\r\n" +
+                generation + "Content-Length: 1\r\n\r\nx");
+    BOOST_REQUIRE(run_until([&] { return !caller.result().body.empty(); }));
+    BOOST_TEST(!caller.result().head.chunked);
+    BOOST_TEST(caller.result().body.starts_with("id: 1\n"));
+    end_gateway();
+    BOOST_REQUIRE(run_until([&] { return caller.result().ended || caller.result().failed; }));
+    BOOST_TEST(caller.result().failed);
+}
+
+BOOST_AUTO_TEST_CASE(still_ends_complete_answers_in_order)
+{
+    for (const auto how : {behaviour::stream_unframed, behaviour::stream}) {
+        script_both(*this, {how});
+        const auto got = call_raw(
+            "POST /guide/x HTTP/1.0\r\nHost: h\r\nX-Request-Id: whole\r\nAuthorization: Bearer k\r\n" +
+            generation + "Content-Length: 1\r\n\r\nx");
+        BOOST_TEST(got.ended);
+        BOOST_TEST(!got.head.chunked);
+        BOOST_TEST(got.body.find("piece " + std::to_string(routed_upstream::stream_events)) !=
+                   std::string::npos);
+        script_both(*this, {});
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(that_follows_the_store, gateway_fixture)
 
 BOOST_AUTO_TEST_CASE(sends_nothing_to_a_leaving_upstream)
