Suspicions of crashing upstreams outlive the entries that have them

Callers saw: nothing; servers went down. Cause: crash_watch keeps suspicions in memory and tells them once, in five reports within half a second; the store has quarantined prompt parts only, and this request has none. Ruled out: trust after a good end (there is none), lost reports (entries that were up had learned).

--- a/policy/poison.cpp
+++ b/policy/poison.cpp
@@ -38,20 +38,47 @@
 
 void poison_tracker::soft_state_received(const soft_state_item& item, time_point now)
 {
-    if (item.kind != poison_kind) {
-        return;
-    }
-    std::uint32_t crashes = 0;
-    const auto parsed = std::from_chars(item.value.data(), item.value.data() + item.value.size(), crashes);
-    if (parsed.ec != std::errc{}) {
+    const auto crashes = crashes_in(item);
+    if (!crashes) {
         return;
     }
-    if (crashes == 0) {
+    if (*crashes == 0) {
         suspicions_.erase(item.key);
         return;
     }
     remove_expired(now);
-    record_crashes(item.key, std::max(crashes, crashes_of(item.key, now)), now + item.lifetime);
+    record_crashes(item.key, std::max(*crashes, crashes_of(item.key, now)), now + item.lifetime);
+}
+
+void poison_tracker::restore(const std::string& fingerprint, std::uint32_t crashes, duration age,
+                             time_point now)
+{
+    const auto known = crashes_of(fingerprint, now);
+    if (age < settings_.lifetime && known < crashes) {
+        record_crashes(fingerprint, crashes, now + settings_.lifetime - age);
+    }
+}
+
+std::vector<soft_state_item> poison_tracker::items(time_point now) const
+{
+    std::vector<soft_state_item> result;
+    for (const auto& [fingerprint, each] : suspicions_) {
+        if (now < each.expires_at) {
+            result.push_back(make_item(fingerprint, each.crashes));
+            result.back().lifetime = each.expires_at - now;
+        }
+    }
+    return result;
+}
+
+std::optional<std::uint32_t> poison_tracker::crashes_in(const soft_state_item& item)
+{
+    if (item.kind != poison_kind) {
+        return std::nullopt;
+    }
+    std::uint32_t crashes = 0;
+    const auto parsed = std::from_chars(item.value.data(), item.value.data() + item.value.size(), crashes);
+    return parsed.ec == std::errc{} ? std::optional(crashes) : std::nullopt;
 }
 
 bool poison_tracker::is_suspect(std::string_view fingerprint, time_point now) const
--- a/policy/poison.h
+++ b/policy/poison.h
@@ -36,6 +36,13 @@
     /// \returns the item to publish if the fingerprint was a suspect.
     std::optional<soft_state_item> on_success(const std::string& fingerprint, time_point now);
     void soft_state_received(const soft_state_item& item, time_point now);
+    /// A suspicion that outlived the process that had it. \param age time since the last crash.
+    void restore(const std::string& fingerprint, std::uint32_t crashes, duration age, time_point now);
+    /// The suspicions in force, as items to publish.
+    std::vector<soft_state_item> items(time_point now) const;
+    /// How many crashes an item tells of, 0 if it withdraws a suspicion; nothing for another kind of item, or
+    /// an unreadable one.
+    static std::optional<std::uint32_t> crashes_in(const soft_state_item& item);
 
     bool is_suspect(std::string_view fingerprint, time_point now) const;
     bool is_quarantined(std::string_view fingerprint, time_point now) const;
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -3,12 +3,12 @@
 #include "core/digest.h"
 
 namespace clementinegap {
-
 entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log, metrics& counters,
                              std::function<void(soft_state_item)> publish, quarantine_recorder record,
-                             stream_message_sender send_message)
+                             stream_message_sender send_message, suspicion_recorder record_suspicions)
     : loop_(loop), router_(router), log_(log), counters_(counters), publish_(std::move(publish)),
-      record_(std::move(record)), send_message_(std::move(send_message)), pool_(loop),
+      record_(std::move(record)), send_message_(std::move(send_message)),
+      record_suspicions_(std::move(record_suspicions)), pool_(loop),
       listener_(loop, [this](uv_stream_t* listening) { on_connection(listening); })
 {
 }
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -25,12 +26,15 @@
     using quarantine_recorder =
         std::function<void(std::uint64_t part, const std::optional<quarantined_part>& quarantined)>;
     using stream_message_sender = std::function<void(const send_stream_message&)>;
+    /// Writes the row with the suspicions of this daemon to the store.
+    using suspicion_recorder = std::function<void(std::span<const suspicion>)>;
 
     entry_gateway(
         event_loop& loop, request_router& router, decision_log& log, metrics& counters,
         std::function<void(soft_state_item)> publish,
         quarantine_recorder record = [](std::uint64_t, const auto&) {},
-        stream_message_sender send_message = [](const auto&) {});
+        stream_message_sender send_message = [](const auto&) {},
+        suspicion_recorder record_suspicions = [](const auto&) {});
     ~entry_gateway() override;
     entry_gateway(const entry_gateway&) = delete;
     entry_gateway& operator=(const entry_gateway&) = delete;
@@ -82,6 +86,7 @@
     void apply(const publish_soft_state& action) { publish_(action.item); }
     void apply(const record_quarantine& action) { record_(action.quarantined.part, action.quarantined); }
     void apply(const remove_quarantine_record& action) { record_(action.part, std::nullopt); }
+    void apply(const record_suspicions& action) { record_suspicions_(action.suspicions); }
     void apply(const send_stream_message& action) { send_message_(action); }
 
     event_loop& loop_;
@@ -91,6 +96,7 @@
     std::function<void(soft_state_item)> publish_;
     quarantine_recorder record_;
     stream_message_sender send_message_;
+    suspicion_recorder record_suspicions_;
     upstream_pool pool_;
     tcp_listener listener_;
     std::unordered_map<http_server_connection*, caller> callers_;
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "platform/directory_rows.h"
 #include "platform/header_names.h"
 #include "router/quarantine_rows.h"
+#include "router/suspicion_rows.h"
 
 #include <algorithm>
 #include <csignal>
@@ -41,6 +42,7 @@
     result.assumed_speed = settings.assumed_speed;
     result.max_backoff = settings.longest_pause;
     result.retries = {settings.retry_ratio, settings.retry_slack, settings.retry_window};
+    result.follows_others = true;
     return result;
 }
 
@@ -73,7 +75,8 @@
           [this](std::uint64_t part, const std::optional<quarantined_part>& quarantined) {
               record_quarantine(part, quarantined);
           },
-          [this](const send_stream_message& message) { peers_.send(settings_.vm, message); }),
+          [this](const send_stream_message& message) { peers_.send(settings_.vm, message); },
+          [this](std::span<const suspicion> suspicions) { record_suspicions(suspicions); }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
       fetch_(loop_, [this](const std::string& text) { apply_configuration(text, "peer"); }),
       catch_up_(event_loop::now()), configuration_record_(settings_.vm),
@@ -85,7 +88,15 @@
           [this](std::string_view event, std::string_view detail) { log_.info(event, detail); },
           [this]() -> const std::string& { return configuration_text_; }),
       registration_(loop_, settings_.store_address, store_tables::daemons_table, settings_.vm,
-                    to_string(settings_.peer_address))
+                    to_string(settings_.peer_address)),
+      suspicions_reader_(std::make_unique<table_reader>(
+          loop_, settings_.store_address, table_follower(std::string(suspicions_table), incarnation_),
+          [this](const table_follower::progress& progress) { on_suspicions(progress); },
+          [this](const table_reader::call_result& result) {
+              if (!result.succeeded) {
+                  log_.info("suspicions.read_failed", result.error);
+              }
+          }))
 {
 }
 
@@ -126,6 +137,10 @@
     if (configuration_write_) {
         configuration_write_->run(now);
     }
+    read_suspicions(now);
+    if (suspicions_write_) {
+        suspicions_write_->run(now);
+    }
     if (now >= next_report_) {
         auto report = router_.report(now);
         report.next_in = peers_.interval();
@@ -163,6 +178,12 @@
     if (configuration_write_) {
         due = std::min(due, configuration_write_->due());
     }
+    if (suspicions_reader_) {
+        due = std::min(due, suspicions_reader_->due());
+    }
+    if (suspicions_write_) {
+        due = std::min(due, suspicions_write_->due());
+    }
     loop_.wake_at(due, [this] { wake(); });
 }
 
@@ -360,6 +381,41 @@
                                    quarantine_row_key(part), value);
 }
 
+void entry_process::record_suspicions(std::span<const suspicion> suspicions)
+{
+    suspicions_write_.emplace(loop_, settings_.store_address, suspicions_table, settings_.vm,
+                              encode_suspicions(suspicions, unix_time_ms()));
+    suspicions_write_->run(event_loop::now());
+}
+
+void entry_process::read_suspicions(time_point now)
+{
+    if (suspicions_read_) {
+        suspicions_reader_.reset();
+    }
+    if (suspicions_reader_) {
+        suspicions_reader_->run(now);
+    }
+}
+
+void entry_process::on_suspicions(const table_follower::progress& progress)
+{
+    if (!progress.is_snapshot) {
+        return;
+    }
+    suspicions_read_ = true;
+    suspicions_listed listing;
+    for (const auto& row : progress.changes) {
+        auto read = decode_suspicions(row.value, unix_time_ms());
+        if (!read) {
+            log_.warn("suspicions.unreadable", row.key + ": " + read.error().message);
+            continue;
+        }
+        listing.rows.push_back({row.key, std::move(read.value())});
+    }
+    gateway_.post(std::move(listing));
+}
+
 probe_server::response entry_process::probe(std::string_view path)
 {
     if (path == platform_names::readiness_path) {
@@ -436,6 +492,9 @@
     if (!(next.store_address == settings_.store_address)) {
         settings_.store_address = next.store_address;
         tables_.set_store(next.store_address);
+        if (suspicions_reader_) {
+            suspicions_reader_->set_store(next.store_address);
+        }
     }
     // The listening addresses cannot change while the process runs.
     log_.info("daemon.reloaded", "store " + to_string(settings_.store_address));
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -12,7 +12,9 @@
 #include "routing/request_router.h"
 
 #include <map>
+#include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace clementinegap {
@@ -41,6 +43,10 @@
     /// Records the configuration in the store if that is up to this daemon.
     void record_configuration(time_point now);
     void record_quarantine(std::uint64_t part, const std::optional<quarantined_part>& quarantined);
+    void record_suspicions(std::span<const suspicion> suspicions);
+    void on_suspicions(const table_follower::progress& progress);
+    /// Reads the recorded suspicions until that has succeeded once.
+    void read_suspicions(time_point now);
     probe_server::response probe(std::string_view path);
     void begin_shutdown();
     void continue_shutdown(time_point now);
@@ -69,6 +75,10 @@
     row_writer registration_;
     std::map<std::uint64_t, row_writer> quarantine_writes_; ///< By prompt part.
     std::optional<row_writer> configuration_write_;
+    /// Nothing once the recorded suspicions have been read.
+    std::unique_ptr<table_reader> suspicions_reader_;
+    bool suspicions_read_{false};
+    std::optional<row_writer> suspicions_write_;
     std::map<std::string, endpoint> daemon_addresses_;
     std::string settings_text_;
     time_point next_settings_check_{};
--- a/router/peer_link.cpp
+++ b/router/peer_link.cpp
@@ -70,6 +70,9 @@
 
 void peer_link::publish(soft_state_item item)
 {
+    std::erase_if(pending_items_, [&](const pending_item& each) {
+        return each.item.kind == item.kind && each.item.key == item.key;
+    });
     pending_items_.push_back({std::move(item)});
 }
 
--- a/router/peer_link.h
+++ b/router/peer_link.h
@@ -27,7 +27,7 @@
     bool bind(const endpoint& address) { return socket_.bind(address.ip, address.port); }
     /// The other daemons' addresses by name.
     void set_peers(std::map<std::string, endpoint> peers);
-    /// Adds an item of soft state to the next reports.
+    /// Adds an item of soft state to the next reports, in place of an older one with the same key.
     void publish(soft_state_item item);
     /// Time between reports. It grows with the number of peers, which limits the rate of sent datagrams.
     duration interval() const;
--- a/routing/crash_watch.cpp
+++ b/routing/crash_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "core/digest.h"
 
+#include <algorithm>
+#include <functional>
 #include <set>
 
 namespace clementinegap {
@@ -37,6 +39,22 @@
     return poison_.on_success(fingerprint, now);
 }
 
+void crash_watch::on_recorded(std::span<const suspicion> recorded, time_point now)
+{
+    for (const auto& each : recorded) {
+        poison_.restore(each.fingerprint, each.crashes, each.age, now);
+    }
+}
+
+std::vector<soft_state_item> crash_watch::items_for_newcomer(time_point now) const
+{
+    auto items = poison_.items(now);
+    std::ranges::stable_sort(items, std::greater{},
+                             [](const soft_state_item& each) { return poison_tracker::crashes_in(each); });
+    items.resize(std::min(items.size(), max_newcomer_items));
+    return items;
+}
+
 bool crash_watch::is_trusted(const std::string& fingerprint, time_point now) const
 {
     const auto found = ended_well_at_.find(hash64(fingerprint));
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -56,6 +56,11 @@
 
 void request_router::on(const request_arrived& event)
 {
+    if (table_ && !knows_suspicions()) {
+        refuse(event.request, event.id, 503, result_code::not_ready, jittered(default_retry_after),
+               "the recorded suspicions have not been read yet");
+        return;
+    }
     auto admitted = admit(event, table_, random_, now_);
     if (const auto* refused = std::get_if<refusal>(&admitted)) {
         const bool comes_back = refused->code == result_code::not_ready;
@@ -350,7 +355,7 @@
             health_.succeeded(request.upstream->id, now_);
             prompt_parts_.succeeded(request.prompt, now_);
             if (auto item = crashes_.ended_well(request.fingerprint, now_)) {
-                actions_.emplace_back(publish_soft_state{std::move(*item)});
+                publish_suspicion(std::move(*item));
             }
         }
         if (!request.is_generation()) {
@@ -429,6 +434,7 @@
                                            std::to_string(table_->route_count())});
     partitions_outdated_ = true;
     if (first) {
+        await_suspicions();
         housekeeping();
     }
 }
@@ -440,6 +446,10 @@
     load_.on_report(event.report, now_);
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
+        suspicion_record_.received(item, now_);
+    }
+    if (daemon_starts_.heard(event.report.daemon, event.report.incarnation)) {
+        brief_newcomer();
     }
     for (const auto& each : event.report.leave_notices) {
         apply_leave_notice(each, "heard from " + event.report.daemon);
@@ -483,6 +493,9 @@
     limits_.expire(now_);
     members_.expire(now_);
     record_quarantines();
+    if (auto row = suspicion_record_.due(now_)) {
+        actions_.emplace_back(record_suspicions{std::move(*row)});
+    }
     update_shares();
     partitions_outdated_ = true;
     for (const auto& [service, queue] : wait_queues_) {
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -3,6 +3,7 @@
 #include "core/timer_service.h"
 #include "routing/capacity_wait_queue.h"
 #include "routing/crash_watch.h"
+#include "routing/daemon_starts.h"
 #include "routing/fleet_members.h"
 #include "routing/generation_placement.h"
 #include "routing/load_tracker.h"
@@ -13,6 +14,7 @@
 #include "routing/router_events.h"
 #include "routing/software_versions.h"
 #include "routing/stream_origins.h"
+#include "routing/suspicion_record.h"
 #include "routing/upstream_choice.h"
 #include "routing/upstream_directory.h"
 #include "routing/upstream_health.h"
@@ -38,6 +40,9 @@
     engine_speed assumed_speed{}; ///< Speed of engines without measurements.
     /// Upper bound of the backoff that an upstream can request; see `upstream_backoffs`.
     duration max_backoff{minutes(10)};
+    /// Whether other processes may have served before this one. It is not ready before `suspicions_listed`
+    /// has told it which requests crash upstreams.
+    bool follows_others{false};
 };
 
 /// The decisions of an entry daemon that sends callers' requests directly to upstreams: the route, the
@@ -53,7 +58,7 @@
     time_point next_due() const { return timers_.next_due(); }
 
     /// Whether callers should be sent to this daemon.
-    bool is_ready() const { return table_ != nullptr && directory_.size() > 0 && !draining(); }
+    bool is_ready() const { return has_tables() && knows_suspicions() && !draining(); }
     bool draining() const { return drain_deadline_ != never; }
     std::size_t open_requests() const { return requests_.size(); }
     const route_table* table() const { return table_.get(); }
@@ -69,6 +74,8 @@
 private:
     /// Retry-After when there is no better estimate; about the time until a restarted upstream is listed.
     static constexpr duration default_retry_after = milliseconds(800);
+    /// How long a daemon that could serve otherwise waits for the recorded suspicions.
+    static constexpr duration max_suspicions_wait = seconds(3);
 
     void on(const request_arrived& event);
     void on(const send_failed& event);
@@ -85,6 +92,7 @@
     void on(const directory_confirmed& event) { versions_.directory_confirmed(event.at); }
     void on(const load_reported& event);
     void on(const quarantines_recorded& event);
+    void on(const suspicions_listed& event);
     void on(const fleet_size_known& event);
     void on(const stream_message_received& event);
     void on(const drain_begun& event);
@@ -158,6 +166,17 @@
     void refuse(request_number number, std::string_view id, int status, result_code code,
                 std::optional<duration> retry_after, std::string detail);
     void log(std::string_view event, const routed_request& request, std::string detail);
+    bool has_tables() const { return table_ != nullptr && directory_.size() > 0; }
+    bool knows_suspicions() const
+    {
+        return !settings_.follows_others || suspicions_listed_ || now_ >= suspicions_due_;
+    }
+    /// Begins the wait for the recorded suspicions once nothing else is missing.
+    void await_suspicions();
+    /// Publishes a suspicion or its withdrawal, and has it recorded.
+    void publish_suspicion(soft_state_item item);
+    /// Publishes the suspicions again, for a daemon that has just started.
+    void brief_newcomer();
     void process_ended(std::string_view upstream);
     /// The process of this upstream ended without having announced it.
     void crashed(const upstream_record& upstream);
@@ -183,6 +202,10 @@
     load_tracker load_;
     generation_placement placement_;
     crash_watch crashes_;
+    suspicion_record suspicion_record_;
+    daemon_starts daemon_starts_;
+    bool suspicions_listed_{false};
+    time_point suspicions_due_{never};
     prompt_part_quarantine prompt_parts_;
     quarantine_records records_;
     upstream_backoffs backoffs_;
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -22,10 +22,52 @@
 {
     placement_.engine_process_ended(upstream);
     for (auto& item : crashes_.process_ended(upstream, now_)) {
+        publish_suspicion(std::move(item));
+    }
+}
+
+void request_router::publish_suspicion(soft_state_item item)
+{
+    suspicion_record_.observed(item, now_);
+    // Written at once if this is the first for a while: the process may be killed at any moment.
+    if (auto row = suspicion_record_.due(now_)) {
+        actions_.emplace_back(record_suspicions{std::move(*row)});
+    }
+    actions_.emplace_back(publish_soft_state{std::move(item)});
+}
+
+void request_router::brief_newcomer()
+{
+    for (auto& item : crashes_.items_for_newcomer(now_)) {
         actions_.emplace_back(publish_soft_state{std::move(item)});
     }
 }
 
+void request_router::await_suspicions()
+{
+    if (suspicions_due_ == never && has_tables()) {
+        suspicions_due_ = now_ + max_suspicions_wait;
+    }
+}
+
+void request_router::on(const suspicions_listed& event)
+{
+    suspicions_listed_ = true;
+    std::vector<suspicion> own;
+    std::size_t count = 0;
+    for (const auto& row : event.rows) {
+        crashes_.on_recorded(row.suspicions, now_);
+        count += row.suspicions.size();
+        if (row.daemon == settings_.daemon) {
+            own = row.suspicions;
+        }
+    }
+    suspicion_record_.restore(own, now_);
+    actions_.emplace_back(
+        log_decision{"suspicions.read", "", "",
+                     "daemons " + std::to_string(event.rows.size()) + " requests " + std::to_string(count)});
+}
+
 void request_router::crashed(const upstream_record& upstream)
 {
     if (upstream.leaving || directory_.is_leaving(upstream) || prompt_parts_.knows_crash(upstream)) {
@@ -161,6 +203,7 @@
         on(upstream_listed{each});
     }
     directory_.retain(ids, now_);
+    await_suspicions();
     for (const auto& [upstream, limit] : limits_.current()) {
         if (std::ranges::find(ids, upstream) == ids.end()) {
             limits_.unlisted(upstream, now_);
@@ -261,6 +304,9 @@
     registered_daemons_ = event.daemons;
     registered_names_ = event.others;
     members_.set_registered(event.daemons);
+    if (daemon_starts_.registered(event.others)) {
+        brief_newcomer();
+    }
 }
 
 void request_router::apply_leave_notice(const leave_notice& value, const std::string& source)
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -8,6 +8,7 @@
 #include "routing/route_table.h"
 #include "routing/send_fault.h"
 #include "routing/stream_origin.h"
+#include "routing/suspicion_record.h"
 #include "routing/upstream_directory.h"
 
 #include <cstdint>
@@ -119,6 +120,17 @@
     bool is_listing{false}; ///< `parts` contains all records.
 };
 
+/// The suspicions of one daemon, as the store has recorded them.
+struct recorded_suspicions {
+    std::string daemon;
+    std::vector<suspicion> suspicions;
+};
+
+/// The recorded suspicions of all daemons, read when this process started.
+struct suspicions_listed {
+    std::vector<recorded_suspicions> rows;
+};
+
 /// Number of registered daemons, including this one; fewer may be alive.
 struct fleet_size_known {
     std::size_t daemons{1};
@@ -140,7 +152,8 @@
     std::variant<request_arrived, send_failed, upstream_notice, first_event_seen, request_completed,
                  caller_left, configuration_received, upstream_listed, upstream_removed, directory_listed,
                  directory_unreachable, directory_reachable, directory_confirmed, load_reported,
-                 quarantines_recorded, fleet_size_known, stream_message_received, drain_begun, tick>;
+                 quarantines_recorded, suspicions_listed, fleet_size_known, stream_message_received,
+                 drain_begun, tick>;
 
 /// Send the request to this upstream. It replaces an earlier send of the request.
 struct send_request {
@@ -219,14 +232,20 @@
     std::uint64_t part{0};
 };
 
+/// Write the suspicions of this daemon to the store, in place of those written before.
+struct record_suspicions {
+    std::vector<suspicion> suspicions;
+};
+
 /// Send the other daemons a message about the origin of a stream, at once. It may be lost.
 struct send_stream_message {
     std::vector<std::string> daemons;
     stream_message message;
 };
 
-using router_action = std::variant<send_request, respond_to_caller, pass_failure, abort_caller, stop_send,
-                                   recall_unsent, log_decision, measure_request, publish_soft_state,
-                                   record_quarantine, remove_quarantine_record, send_stream_message>;
+using router_action =
+    std::variant<send_request, respond_to_caller, pass_failure, abort_caller, stop_send, recall_unsent,
+                 log_decision, measure_request, publish_soft_state, record_quarantine,
+                 remove_quarantine_record, record_suspicions, send_stream_message>;
 
 } // namespace clementinegap
--- /dev/null
+++ b/routing/suspicion_record.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/soft_state.h"
+#include "core/time.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace clementinegap {
+
+/// A request that is suspected of crashing upstreams.
+struct suspicion {
+    std::string fingerprint;
+    std::uint32_t crashes{0}; ///< While it ran.
+    duration age{0};          ///< Since the last of them.
+    bool operator==(const suspicion&) const = default;
+};
+
+/// The requests that this daemon suspects of crashing upstreams, in its own row of the platform's store. A
+/// daemon that starts reads the rows of all daemons, so that suspicions survive the end of any of them, and
+/// of all at the same time. Each daemon writes what it has observed itself: a crash costs one write for each
+/// daemon that lost a request to it.
+class suspicion_record {
+public:
+    /// This daemon has observed or withdrawn a suspicion, as it tells the others.
+    void observed(const soft_state_item& item, time_point now);
+    /// Another daemon has told of a suspicion. Only a withdrawal concerns the own row.
+    void received(const soft_state_item& item, time_point now);
+    /// The own row, as a former process of this daemon has written it. Nothing is written before it is known.
+    void restore(std::span<const suspicion> recorded, time_point now);
+    /// The content of the row, if it is to be written now.
+    std::optional<std::vector<suspicion>> due(time_point now);
+
+private:
+    /// Between two writes. The second is the time within which a withdrawn suspicion leaves the row.
+    static constexpr duration min_write_interval = seconds(1);
+    static constexpr duration withdrawal_delay = seconds(20);
+    /// Some kilobytes, well below the limit of the store for a row. The oldest are dropped first.
+    static constexpr std::size_t max_suspicions = 256;
+
+    struct observation {
+        std::uint32_t crashes{0};
+        time_point at;
+        time_point expires_at;
+    };
+
+    void withdraw(const std::string& fingerprint, time_point now);
+    void request_write(time_point at) { write_at_ = std::min(write_at_, at); }
+
+    bool restored_{false};
+    std::map<std::string, observation> observed_; ///< By fingerprint.
+    time_point write_at_{never};
+    time_point written_at_{};
+};
+
+} // namespace clementinegap
