A new process takes the retry budget for spent, and uses a reserve for one window

Callers saw: more load on failing servers. Cause: retry_budget counts in memory and started empty, with its whole part of the slack. Ruled out: the number of members (the same with one entry), the buckets (108 in the worst window without a kill). Change: for a window and a bucket after its start a process uses 0.3 of the ratio of its own requests and no slack; before, 0.7 of both was and is used. The sum over any number of processes stays within the budget. Callers of a new entry get fewer repeats for 11 s. Tests: a_retry_budget/of_daemons_that_are_killed.

--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -39,6 +39,9 @@
 std::span<const router_action> request_router::on_event(const router_event& event, time_point now)
 {
     now_ = now;
+    if (settings_.follows_others && !started_at_) {
+        started_at_ = now;
+    }
     actions_.clear();
     if (members_.on_time(now)) {
         update_shares();
@@ -516,7 +519,7 @@
 
 retry_budget& request_router::budget(const std::string& service)
 {
-    return budgets_.try_emplace(service, settings_.retries).first->second;
+    return budgets_.try_emplace(service, settings_.retries, started_at_).first->second;
 }
 
 load_report request_router::report(time_point now)
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -41,7 +41,7 @@
     /// Upper bound of the backoff that an upstream can request; see `upstream_backoffs`.
     duration max_backoff{minutes(10)};
     /// Whether other processes may have served before this one. It is not ready before `suspicions_listed`
-    /// has told it which requests crash upstreams.
+    /// has told it which requests crash upstreams, and takes the retry budget for used up by them.
     bool follows_others{false};
 };
 
@@ -194,6 +194,7 @@
 
     router_settings settings_;
     time_point now_{};
+    std::optional<time_point> started_at_; ///< The first event of a daemon that may follow others.
     timer_service timers_;
     std::minstd_rand random_;
     std::shared_ptr<const route_table> table_;
--- a/routing/retry_budget.cpp
+++ b/routing/retry_budget.cpp
@@ -6,8 +6,7 @@
 
 retry_budget::bucket& retry_budget::current(time_point now)
 {
-    const auto span = settings_.window / static_cast<duration::rep>(buckets_per_window);
-    const std::int64_t number = now.time_since_epoch() / span;
+    const std::int64_t number = now.time_since_epoch() / bucket_span();
     auto& entry = buckets_[static_cast<std::size_t>(number) % bucket_count];
     if (entry.number != number) {
         entry = bucket{number, 0, 0};
@@ -35,7 +34,9 @@
         }
     }
     const auto members = static_cast<double>(std::max<std::size_t>(daemons, 1));
-    const double allowed = usable_share * (settings_.ratio * requests + settings_.slack / members);
+    const double allowed = now < settled_at_
+                               ? reserve_share * settings_.ratio * requests
+                               : usable_share * (settings_.ratio * requests + settings_.slack / members);
     if (extra_sends + 1.0 > allowed) {
         return false;
     }
--- a/tests/routing/test_components.cpp
+++ b/tests/routing/test_components.cpp
@@ -11,8 +11,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <random>
+#include <vector>
 
 using namespace clementinegap;
 
@@ -89,6 +91,149 @@
     BOOST_TEST(!extra.empty());
 }
 
+BOOST_AUTO_TEST_SUITE(of_daemons_that_are_killed)
+
+namespace {
+
+constexpr double ratio = 0.2;
+constexpr double slack = 56;
+constexpr duration window = seconds(10);
+constexpr duration step = milliseconds(5);
+
+/// Requests that fail, at daemons that are killed and started again. The budget of the fleet is used as far
+/// as the daemons allow.
+class failing_fleet {
+public:
+    explicit failing_fleet(std::size_t daemons) : budgets_(daemons, retry_budget({ratio, slack, window})) {}
+
+    /// \param request_share requests in a step. \param failures whether requests fail.
+    void pass(duration span, double request_share, bool failures)
+    {
+        for (const auto end = now_ + span; now_ < end; now_ += step) {
+            const auto daemon = random_() % budgets_.size();
+            if (std::uniform_real_distribution<double>(0, 1)(random_) < request_share) {
+                budgets_[daemon].request_seen(now_);
+                requests_.push_back(now_);
+            }
+            if (failures && budgets_[daemon].take(budgets_.size(), now_)) {
+                extra_.push_back(now_);
+            }
+        }
+    }
+    void kill(std::size_t daemon) { budgets_[daemon] = retry_budget({ratio, slack, window}, now_); }
+    void kill_all()
+    {
+        for (std::size_t daemon = 0; daemon < budgets_.size(); ++daemon) {
+            kill(daemon);
+        }
+    }
+    void add_daemon() { budgets_.push_back(retry_budget({ratio, slack, window}, now_)); }
+    std::size_t daemons() const { return budgets_.size(); }
+
+    /// The largest share of what is allowed in a window. The requests are those of the window, the one before
+    /// it, or the one half a window before it, whichever has most.
+    double worst_share() const
+    {
+        const auto between = [](const std::vector<time_point>& times, time_point from) {
+            return static_cast<double>(std::ranges::lower_bound(times, from + window) -
+                                       std::ranges::lower_bound(times, from));
+        };
+        double worst = 0;
+        for (const auto from : extra_) {
+            const auto requests = std::max({between(requests_, from), between(requests_, from - window / 2),
+                                            between(requests_, from - window)});
+            worst = std::max(worst, between(extra_, from) / (ratio * requests + slack));
+        }
+        return worst;
+    }
+
+private:
+    time_point now_{start};
+    std::minstd_rand random_{11};
+    std::vector<retry_budget> budgets_;
+    std::vector<time_point> requests_;
+    std::vector<time_point> extra_;
+};
+
+} // namespace
+
+// Guards against a budget that counts in memory only: each process that started again had all of it once
+// more.
+BOOST_AUTO_TEST_CASE(holds_for_every_window_when_all_are_killed_at_once)
+{
+    for (const std::size_t daemons : {1U, 4U, 30U}) {
+        for (const int kills : {1, 2, 5}) {
+            failing_fleet fleet(daemons);
+            fleet.pass(seconds(15), 0.25, false);
+            fleet.pass(seconds(5), 0.25, true);
+            for (int kill = 0; kill < kills; ++kill) {
+                fleet.kill_all();
+                fleet.pass(seconds(3), 0.25, true);
+            }
+            fleet.pass(seconds(20), 0.25, true);
+            BOOST_TEST(fleet.worst_share() <= 1.0, daemons << " daemons, " << kills << " kills");
+            BOOST_TEST(fleet.worst_share() > 0.5);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(holds_for_every_window_when_they_are_killed_in_turn)
+{
+    failing_fleet fleet(4);
+    fleet.pass(seconds(15), 0.25, false);
+    for (std::size_t kill = 0; kill < 16; ++kill) {
+        fleet.pass(milliseconds(1500), 0.25, true);
+        fleet.kill(kill % fleet.daemons());
+    }
+    fleet.pass(seconds(20), 0.25, true);
+    BOOST_TEST(fleet.worst_share() <= 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(holds_for_every_window_when_some_are_killed_and_others_are_added)
+{
+    failing_fleet fleet(4);
+    fleet.pass(seconds(15), 0.25, false);
+    fleet.pass(seconds(4), 0.25, true);
+    for (std::size_t added = 0; added < 6; ++added) {
+        fleet.kill(added % 2);
+        fleet.add_daemon();
+        fleet.pass(seconds(1), 0.25, true);
+    }
+    fleet.pass(seconds(20), 0.25, true);
+    BOOST_TEST(fleet.worst_share() <= 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(holds_after_calm_time_as_failures_begin_with_the_kill)
+{
+    failing_fleet fleet(4);
+    fleet.pass(seconds(30), 0.5, false);
+    fleet.pass(milliseconds(1500), 0.5, true);
+    fleet.kill_all();
+    fleet.pass(seconds(25), 0.5, true);
+    BOOST_TEST(fleet.worst_share() <= 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_a_new_process_some_retries)
+{
+    retry_budget budget({ratio, slack, window}, start);
+    int extra = 0;
+    auto now = start;
+    for (; now < start + window; now += milliseconds(20)) {
+        budget.request_seen(now);
+        extra += budget.take(4, now) ? 1 : 0;
+    }
+    BOOST_TEST(extra >= 25);
+    BOOST_TEST(extra <= 35);
+    // Later it has its whole share.
+    now += seconds(2);
+    for (int request = 0; request < 40; ++request) {
+        extra += budget.take(4, now) ? 1 : 0;
+    }
+    BOOST_TEST(extra > 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(an_engine_partition)
