The memory for requests and responses in progress is bounded for all of them together

Each request was bounded, their sum was not. Change: byte_budget counts what all connections and exchanges hold; while it is used up, responses are passed on as they come, upstreams are read in pieces of 16 kB as callers take them, request bodies above 16 kB get 503 (not run), and only heads above 16 kB and events above 128 kB are given up. Heads of responses have 256 lines at most. A connection that backpressure paused in the read that ended its response no longer returns to the pool paused. Socket buffers of the system are not counted.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -82,7 +82,8 @@
 
 uv_buf_t event_loop::read_buffer()
 {
-    return uv_buf_init(read_memory_->data(), read_buffer_bytes);
+    const auto bytes = buffers_.is_exhausted() ? byte_budget::small_share : read_buffer_bytes;
+    return uv_buf_init(read_memory_->data(), static_cast<unsigned>(bytes));
 }
 
 } // namespace clementinegap
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "net/byte_budget.h"
 
 #include <array>
 #include <cstddef>
@@ -31,8 +32,11 @@
     void stop() { uv_stop(&loop_); }
 
     uv_loop_t* native() { return &loop_; }
-    /// Buffer shared by all reads; its contents are valid until the next read.
+    /// Buffer shared by all reads; its contents are valid until the next read. Small while the budget for
+    /// buffered bytes is used up.
     uv_buf_t read_buffer();
+    /// The bytes that the connections of this loop hold.
+    byte_budget& buffers() { return buffers_; }
 
 private:
     static constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
@@ -42,6 +46,7 @@
         std::function<void()> action;
     };
 
+    byte_budget buffers_;
     uv_loop_t loop_{};
     uv_timer_t timer_{};
     std::function<void()> wake_action_;
--- a/net/http_client_connection.cpp
+++ b/net/http_client_connection.cpp
@@ -3,7 +3,7 @@
 namespace clementinegap {
 
 http_client_connection::http_client_connection(event_loop& loop, std::function<void()> on_idle_close)
-    : tcp_(loop, *this), on_idle_close_(std::move(on_idle_close)),
+    : loop_(loop), tcp_(loop, *this), held_(loop.buffers()), on_idle_close_(std::move(on_idle_close)),
       reader_(http_reader::kind::responses, {[this](http_head& head) {
                                                  if (exchange_ == nullptr) {
                                                      return http_reader::body_rule::none;
@@ -46,6 +46,7 @@
     reader_.restart();
     if (!connected_) {
         unsent_ = std::move(request);
+        (void)count_held(); // Nothing has been received yet.
         return;
     }
     tcp_.write(std::move(request));
@@ -56,10 +57,19 @@
     connected_ = true;
     if (!unsent_.empty()) {
         tcp_.write(std::move(unsent_));
-        unsent_.clear();
+        unsent_ = {};
+        (void)count_held(); // Nothing has been received yet.
     }
 }
 
+bool http_client_connection::count_held()
+{
+    // Heads are counted once they are larger than usual.
+    const bool is_large = reader_.head_bytes() > byte_budget::small_share;
+    held_.resize(unsent_.capacity() + (is_large ? reader_.memory_bytes() : 0));
+    return loop_.buffers().may_hold(reader_.head_bytes());
+}
+
 void http_client_connection::connect_timed_out()
 {
     if (!connected_) {
@@ -87,7 +97,7 @@
         if (exchange_ == nullptr || ended_) {
             return;
         }
-        if (reader_.status() == http_reader::state::broken || exceeds_discard_limits()) {
+        if (reader_.status() == http_reader::state::broken || !count_held() || exceeds_discard_limits()) {
             fail({true, true, false});
             return;
         }
@@ -132,6 +142,7 @@
     exchange_ = nullptr;
     busy_ = false;
     ended_ = true;
+    held_.resize(0);
     tcp_.close();
 }
 
@@ -151,6 +162,7 @@
     busy_ = false;
     ended_ = !reusable;
     idle_since_ = event_loop::now();
+    held_.resize(0);
     auto* owner = exchange_;
     exchange_ = nullptr;
     owner->on_response_end(reusable);
--- a/net/http_client_connection.h
+++ b/net/http_client_connection.h
@@ -73,7 +73,12 @@
     bool exceeds_discard_limits() const;
     void finish(bool reusable);
 
+    /// \returns whether the head may go on to grow.
+    bool count_held();
+
+    event_loop& loop_;
     tcp_connection tcp_;
+    byte_reservation held_;
     std::function<void()> on_idle_close_;
     http_reader reader_;
     exchange* exchange_{nullptr};
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -34,6 +34,15 @@
     return found == headers.end() ? nullptr : &found->value;
 }
 
+std::size_t http_head::memory_bytes() const
+{
+    std::size_t bytes = headers.capacity() * sizeof(http_header);
+    for (const auto& each : headers) {
+        bytes += each.name.capacity() + each.value.capacity();
+    }
+    return bytes;
+}
+
 std::size_t http_head::count(std::string_view name) const
 {
     return static_cast<std::size_t>(
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -29,6 +29,8 @@
 
     /// The first value of a header; nullptr if the header is absent.
     const std::string* find(std::string_view name) const;
+    /// Memory that the headers take, about.
+    std::size_t memory_bytes() const;
     /// How often a header occurs.
     std::size_t count(std::string_view name) const;
 };
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint32_t max_head_bytes = 1U << 20U;
 /// Limit for response heads, trailers included. Common servers send a few kB and none send more than this.
 constexpr std::size_t max_response_head_bytes = std::size_t{64} * 1024;
+/// Limit of header lines in a response, trailers included. Each takes several times the memory of a short
+/// line.
+constexpr std::size_t max_response_header_lines = 256;
 /// Limit of 1xx responses before a final response; correct servers send one or two.
 constexpr std::uint32_t max_informational_responses = 16;
 
@@ -126,7 +129,8 @@
 bool http_reader::exceeds_head_limits() const
 {
     return kind_ == kind::responses &&
-           (head_bytes_ > max_response_head_bytes || informational_responses_ > max_informational_responses);
+           (head_bytes_ > max_response_head_bytes || head_.headers.size() > max_response_header_lines ||
+            informational_responses_ > max_informational_responses);
 }
 
 std::size_t http_reader::execute(std::string_view bytes)
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -42,6 +42,10 @@
     bool started() const { return started_; }
     /// Prepares for the next message.
     void restart();
+    /// Bytes of the head that have been received, and of trailers and chunk lines after the last body bytes.
+    std::size_t head_bytes() const { return head_bytes_; }
+    /// Memory that the head takes, about.
+    std::size_t memory_bytes() const { return head_.memory_bytes(); }
     /// Description of the parser's error.
     std::string_view problem() const;
 
--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -10,19 +10,20 @@
 } // namespace
 
 http_server_connection::http_server_connection(event_loop& loop, handler& owner, server_limits limits)
-    : tcp_(loop, *this), handler_(owner), limits_(limits),
-      reader_(http_reader::kind::requests, {[this](http_head& head) {
-                                                head_ = std::move(head);
-                                                return http_reader::body_rule::as_framed;
-                                            },
-                                            [this](std::string_view bytes) {
-                                                too_large_ = too_large_ ||
-                                                             body_.size() + bytes.size() > limits_.body_bytes;
-                                                if (!too_large_) {
-                                                    body_.append(bytes);
-                                                }
-                                            },
-                                            [] {}})
+    : loop_(loop), tcp_(loop, *this), held_(loop.buffers()), handler_(owner), limits_(limits),
+      reader_(http_reader::kind::requests,
+              {[this](http_head& head) {
+                   head_ = std::move(head);
+                   return http_reader::body_rule::as_framed;
+               },
+               [this](std::string_view bytes) {
+                   too_large_ = too_large_ || body_.size() + bytes.size() > limits_.body_bytes;
+                   no_memory_ = no_memory_ || !loop_.buffers().may_hold(body_.size() + bytes.size());
+                   if (!too_large_ && !no_memory_) {
+                       body_.append(bytes);
+                   }
+               },
+               [] {}})
 {
 }
 
@@ -46,13 +47,15 @@
     }
     pending_.append(bytes);
     if (state_ == state::handling) {
-        if (pending_.size() > read_ahead_bytes) {
+        if (pending_.size() > read_ahead_bytes || !loop_.buffers().may_hold(pending_.size())) {
             paused_ = true;
             tcp_.pause(true);
         }
+        count_held();
         return;
     }
     process_pending();
+    count_held();
 }
 
 void http_server_connection::process_pending()
@@ -86,6 +89,7 @@
     head_ = {};
     body_.clear();
     too_large_ = false;
+    no_memory_ = false;
     reader_.restart();
     const auto taken = reader_.feed(head_text);
     if (reader_.status() == http_reader::state::broken) {
@@ -123,6 +127,10 @@
         refuse(413, "request body exceeds the size limit");
         return;
     }
+    if (no_memory_) {
+        refuse(503, "no memory for the request body at present");
+        return;
+    }
     if (reader_.status() == http_reader::state::reading) {
         return;
     }
@@ -134,6 +142,7 @@
 void http_server_connection::refuse(int status, std::string_view text)
 {
     state_ = state::handling;
+    body_ = {};
     write(handler_.error_response(status, text));
     end_response(true);
 }
@@ -145,7 +154,8 @@
     }
     if (close) {
         state_ = state::closing;
-        pending_.clear();
+        pending_ = {};
+        count_held();
         due_ = event_loop::now() + close_timeout;
         tcp_.end_writing();
         return;
@@ -219,6 +229,7 @@
     }
     state_ = state::closed;
     due_ = never;
+    held_.resize(0);
     tcp_.close();
     handler_.on_disconnected(*this);
 }
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -72,11 +72,14 @@
     void on_written() override { handler_.on_written(*this); }
     void process_pending();
     bool read_head();
+    void count_held() { held_.resize(pending_.capacity() + body_.capacity()); }
     void read_body();
     void refuse(int status, std::string_view text);
     void set_closed();
 
+    event_loop& loop_;
     tcp_connection tcp_;
+    byte_reservation held_;
     handler& handler_;
     server_limits limits_;
     http_reader reader_;
@@ -85,6 +88,7 @@
     std::string body_;
     state state_{state::awaiting_head};
     bool too_large_{false};
+    bool no_memory_{false}; ///< The body was dropped, because the process holds too much.
     bool paused_{false};
     time_point due_{never};
 };
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -52,7 +52,7 @@
 };
 
 tcp_connection::tcp_connection(event_loop& loop, tcp_connection_events& events)
-    : loop_(loop), events_(events), block_(new handle_block)
+    : loop_(loop), events_(events), block_(new handle_block), unwritten_bytes_(loop.buffers())
 {
     uv_tcp_init(loop.native(), &block_->handle);
     block_->handle.data = block_;
@@ -73,6 +73,7 @@
     block_ = nullptr;
     block->owner = nullptr;
     closed_reported_ = true;
+    unwritten_bytes_.resize(0);
     const uv_close_cb free_block = [](uv_handle_t* handle) {
         delete static_cast<handle_block*>(handle->data);
     };
@@ -188,6 +189,9 @@
     const int result = uv_write(&block->request, stream, &buffer, 1, [](uv_write_t* request, int status) {
         auto* owner = static_cast<handle_block*>(request->handle->data)->owner;
         delete static_cast<write_block*>(request->data);
+        if (owner != nullptr) {
+            owner->count_unwritten();
+        }
         // A failed write also makes the read fail, which reports the close.
         if (owner != nullptr && status == 0 && owner->unwritten() == 0) {
             owner->events_.on_written();
@@ -196,6 +200,7 @@
     if (result != 0) {
         delete block;
     }
+    count_unwritten();
 }
 
 void tcp_connection::reset_unless_ended()
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -73,12 +73,14 @@
     struct handle_block;
     struct write_block;
     void start_reading();
+    void count_unwritten() { unwritten_bytes_.resize(unwritten()); }
     void report_closed(close_cause cause);
     static void on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer);
 
     event_loop& loop_;
     tcp_connection_events& events_;
     handle_block* block_; ///< nullptr once closed.
+    byte_reservation unwritten_bytes_;
     bool reading_{false};
     bool reset_on_close_{false};
     bool closed_reported_{false};
--- a/observability/metric_table.cpp
+++ b/observability/metric_table.cpp
@@ -9,6 +9,8 @@
 using enum metric_kind;
 
 constexpr std::array table{
+    metric_definition{"clementinegap_buffered_bytes", gauge, "",
+                      "Bytes of requests and responses that the process holds."},
     metric_definition{"clementinegap_busy_slots", gauge, "", "Slots of the upstream that are taken."},
     metric_definition{"clementinegap_configuration_unconfirmed_seconds", gauge, "",
                       "Time since the store last showed that no newer configuration exists."},
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -3,6 +3,13 @@
 #include "core/digest.h"
 
 namespace clementinegap {
+namespace {
+
+/// Retry-After when there is no memory for a request body; the responses of a moment have been read then.
+constexpr duration memory_retry_after = milliseconds(500);
+
+} // namespace
+
 entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log, metrics& counters,
                              std::function<void(soft_state_item)> publish, quarantine_recorder record,
                              stream_message_sender send_message, suspicion_recorder record_suspicions)
@@ -63,7 +70,11 @@
     answer.status = status;
     answer.code = status == 413   ? result_code::body_too_large
                   : status == 408 ? result_code::sender_too_slow
+                  : status == 503 ? result_code::overloaded
                                   : result_code::bad_header;
+    if (status == 503) {
+        answer.retry_after = memory_retry_after;
+    }
     return encode_own_answer(answer, "", true);
 }
 
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -63,6 +63,7 @@
 
     upstream_pool& pool() override { return pool_; }
     bool stopping() const override { return stopping_; }
+    byte_budget& buffers() override { return loop_.buffers(); }
     void exchange_finished(request_number number) override;
 
     void on_connection(uv_stream_t* listening);
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -32,6 +32,20 @@
     return static_cast<std::int64_t>(value.tv_sec) * 1000 + value.tv_nsec / 1000000;
 }
 
+/// Bytes of requests and responses that the process holds. The rest of the memory is for the process itself
+/// and for what it holds in small shares.
+std::size_t buffer_limit(const entry_settings& settings)
+{
+    constexpr std::size_t megabyte = std::size_t{1} << 20U;
+    if (settings.buffer_limit_mb > 0) {
+        return settings.buffer_limit_mb * megabyte;
+    }
+    constexpr std::size_t parts_of_memory = 8;
+    constexpr std::size_t largest_default = 24 * megabyte;
+    const auto memory = static_cast<std::size_t>(uv_get_total_memory());
+    return std::clamp(memory / parts_of_memory, 4 * megabyte, largest_default);
+}
+
 router_settings router_settings_of(const entry_settings& settings, std::uint64_t incarnation)
 {
     router_settings result;
@@ -103,6 +117,7 @@
 int entry_process::run()
 {
     constexpr int exit_cannot_listen = 3;
+    loop_.buffers().set_limit(buffer_limit(settings_));
     loop_.on_signal(SIGTERM, [this] { begin_shutdown(); });
     loop_.on_signal(SIGINT, [this] { begin_shutdown(); });
     loop_.on_signal(SIGHUP, [this] { reload(); });
@@ -427,6 +442,7 @@
         counters_.set("clementinegap_upstream_limits",
                       static_cast<double>(router_.limits().current().size()));
         counters_.set("clementinegap_draining", router_.draining() ? 1 : 0);
+        counters_.set("clementinegap_buffered_bytes", static_cast<double>(loop_.buffers().used()));
         for (const auto& [name, which] : {std::pair("configuration", store_tables::table::configuration),
                                           std::pair("directory", store_tables::table::directory)}) {
             const auto age = event_loop::now() - tables_.confirmed_at(which);
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -60,6 +60,8 @@
     result.retry_slack = reader.number("retry_slack", 0, 1e6, 0);
     result.longest_pause = scaled(seconds(1), reader.number("longest_pause_s", 1, max_seconds, 600));
     result.stop_grace = scaled(seconds(1), reader.number("stop_grace_s", 1, max_seconds, 8));
+    constexpr double max_buffer_mb = 65536;
+    result.buffer_limit_mb = static_cast<std::size_t>(reader.number("buffer_limit_mb", 0, max_buffer_mb, 0));
     reader.finish();
     if (!faults.empty()) {
         return failure(result_code::invalid_settings, faults.text());
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -6,6 +6,7 @@
 #include "routing/placement_rule.h"
 #include "routing/upstream_record.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,6 +34,7 @@
     engine_speed assumed_speed;      ///< Speed of engines without measurements yet.
     duration longest_pause{minutes(10)}; ///< Longest Retry-After of an upstream that is honoured.
     duration stop_grace{seconds(8)};     ///< From SIGTERM until the process is killed.
+    std::size_t buffer_limit_mb{0};      ///< Of requests and responses; 0: by the memory of the VM.
 };
 
 /// Parses and validates a settings text. \returns `invalid_settings` with every fault, one per line, if any.
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -6,9 +6,21 @@
 
 exchange::exchange(gateway_interface& gateway, http_server_connection& caller, request_number number,
                    std::string id, http_head head, std::string body)
-    : gateway_(gateway), caller_(&caller), number_(number), id_(std::move(id)), head_(std::move(head)),
-      body_(std::move(body)), close_after_(!head_.keep_alive)
+    : gateway_(gateway), held_(gateway.buffers()), caller_(&caller), number_(number), id_(std::move(id)),
+      head_(std::move(head)), body_(std::move(body)), close_after_(!head_.keep_alive)
 {
+    count_held();
+}
+
+void exchange::count_held()
+{
+    held_.resize(body_.capacity() + buffered_body_.capacity() + events_.partial_bytes());
+}
+
+bool exchange::event_is_too_long() const
+{
+    const auto limit = gateway_.buffers().is_exhausted() ? max_event_bytes_without_room : max_event_bytes;
+    return events_.partial_bytes() > limit;
 }
 
 void exchange::send(const send_request& action)
@@ -18,8 +30,9 @@
     fault_.reset();
     discarded_bytes_ = 0;
     first_bytes_reported_ = false;
-    buffered_body_.clear();
+    buffered_body_ = {};
     events_.drop_partial();
+    count_held();
     connection_ = gateway_.pool().acquire(*action.upstream, event_loop::now());
     if (!connection_) {
         gateway_.post(send_failed{number_, send_fault::unreachable, response_started_});
@@ -86,19 +99,23 @@
     }
     if (current_send_.is_stream && is_success()) {
         forward_events(events_.feed(bytes));
-        if (events_.partial_bytes() > max_event_bytes) {
+        count_held();
+        if (event_is_too_long()) {
             fault_ = send_fault::bad_answer;
             abort_invalid_response();
         }
         return;
     }
-    if (!response_started_ && buffered_body_.size() + bytes.size() <= max_buffered_bytes) {
+    const auto buffered = buffered_body_.size() + bytes.size();
+    if (!response_started_ && buffered <= max_buffered_bytes && gateway_.buffers().may_hold(buffered)) {
         buffered_body_.append(bytes);
+        count_held();
         return;
     }
     start_response();
     report_first_bytes();
     write_body(bytes);
+    count_held();
     apply_backpressure();
 }
 
@@ -115,8 +132,8 @@
     }
     first_bytes_reported_ = true;
     if (!current_send_.resumable) {
-        body_.clear();
-        body_.shrink_to_fit();
+        body_ = {};
+        count_held();
     }
     gateway_.post(first_event_seen{number_});
 }
@@ -137,7 +154,7 @@
         auto text = encode_answer(response_head_, framing_, 0, close_after_);
         if (!buffered_body_.empty()) {
             text.append(is_until_close ? buffered_body_ : as_chunk(buffered_body_));
-            buffered_body_.clear();
+            buffered_body_ = {};
         }
         caller_->write(std::move(text));
     }
@@ -167,7 +184,8 @@
 
 void exchange::apply_backpressure()
 {
-    if (caller_ != nullptr && connection_ && caller_->unwritten() > max_unwritten_bytes) {
+    const auto limit = gateway_.buffers().is_exhausted() ? 0 : max_unwritten_bytes;
+    if (caller_ != nullptr && connection_ && caller_->unwritten() > limit) {
         connection_->pause(true);
     }
 }
@@ -181,6 +199,10 @@
 
 void exchange::on_response_end(bool reusable)
 {
+    // Backpressure may have paused it in the same read that brought the end of the response.
+    if (connection_) {
+        connection_->pause(false);
+    }
     // A response without an id, a refusal for instance, cannot be told from a late duplicate of it.
     if (reusable && response_.request_id == id_) {
         gateway_.pool().release(*current_send_.upstream, std::move(connection_),
@@ -228,6 +250,7 @@
         }
         auto text = encode_answer(response_head_, framing, length, close_after_);
         text.append(buffered_body_);
+        buffered_body_ = {};
         caller_->write(std::move(text));
     }
     finish(close_after_);
@@ -281,6 +304,9 @@
 {
     auto* caller = caller_;
     caller_ = nullptr;
+    body_ = {};
+    buffered_body_ = {};
+    count_held();
     gateway_.exchange_finished(number_);
     if (caller != nullptr) {
         caller->end_response(close);
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -27,6 +27,8 @@
         virtual void post(router_event event) = 0;
         virtual upstream_pool& pool() = 0;
         virtual bool stopping() const = 0;
+        /// What all connections and exchanges hold.
+        virtual byte_budget& buffers() = 0;
         /// The response has ended. The exchange must not be destroyed within this call.
         virtual void exchange_finished(request_number number) = 0;
     };
@@ -53,6 +55,8 @@
     static constexpr std::size_t max_discarded_bytes = std::size_t{64} * 1024;
     /// Size limit for one event of a stream; a long text in a single event has about 100 kB.
     static constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
+    /// The same while the budget for buffered bytes is used up.
+    static constexpr std::size_t max_event_bytes_without_room = std::size_t{128} * 1024;
     /// While more bytes than this are queued for the caller, reading from the upstream is paused.
     static constexpr std::size_t max_unwritten_bytes = std::size_t{256} * 1024;
 
@@ -74,8 +78,11 @@
     void deliver_response();
     void finish(bool close);
     void report_fault(send_fault fault);
+    void count_held();
+    bool event_is_too_long() const;
 
     gateway_interface& gateway_;
+    byte_reservation held_;
     http_server_connection* caller_;
     request_number number_;
     std::string id_;
