Sound requests do not stay suspected across restarts

Change: a good end stays in the row and clears older suspicions of all rows; an entry that has seen a request end well within a minute withdraws what others say of it; crashes with several lost requests, or seen in the first 3 s of a process, are told but not recorded. Tests: of_several_daemons_counts_the_crashes_since_a_good_end, is_not_suspected_for_long_if_another_daemon_has_seen_it_end_well.

--- a/policy/poison.cpp
+++ b/policy/poison.cpp
@@ -59,16 +59,15 @@
     }
 }
 
-std::vector<soft_state_item> poison_tracker::items(time_point now) const
+std::optional<soft_state_item> poison_tracker::item_of(std::string_view fingerprint, time_point now) const
 {
-    std::vector<soft_state_item> result;
-    for (const auto& [fingerprint, each] : suspicions_) {
-        if (now < each.expires_at) {
-            result.push_back(make_item(fingerprint, each.crashes));
-            result.back().lifetime = each.expires_at - now;
-        }
+    const auto found = suspicions_.find(fingerprint);
+    if (found == suspicions_.end() || now >= found->second.expires_at) {
+        return std::nullopt;
     }
-    return result;
+    auto item = make_item(found->first, found->second.crashes);
+    item.lifetime = found->second.expires_at - now;
+    return item;
 }
 
 std::optional<std::uint32_t> poison_tracker::crashes_in(const soft_state_item& item)
--- a/policy/poison.h
+++ b/policy/poison.h
@@ -38,8 +38,8 @@
     void soft_state_received(const soft_state_item& item, time_point now);
     /// A suspicion that outlived the process that had it. \param age time since the last crash.
     void restore(const std::string& fingerprint, std::uint32_t crashes, duration age, time_point now);
-    /// The suspicions in force, as items to publish.
-    std::vector<soft_state_item> items(time_point now) const;
+    /// The suspicion of a fingerprint, as an item to publish; nothing if there is none in force.
+    std::optional<soft_state_item> item_of(std::string_view fingerprint, time_point now) const;
     /// How many crashes an item tells of, 0 if it withdraws a suspicion; nothing for another kind of item, or
     /// an unreadable one.
     static std::optional<std::uint32_t> crashes_in(const soft_state_item& item);
--- a/routing/crash_watch.cpp
+++ b/routing/crash_watch.cpp
@@ -2,8 +2,6 @@
 
 #include "core/digest.h"
 
-#include <algorithm>
-#include <functional>
 #include <set>
 
 namespace clementinegap {
@@ -39,20 +37,19 @@
     return poison_.on_success(fingerprint, now);
 }
 
-void crash_watch::on_recorded(std::span<const suspicion> recorded, time_point now)
+std::optional<soft_state_item> crash_watch::refute(const soft_state_item& item, time_point now)
 {
-    for (const auto& each : recorded) {
-        poison_.restore(each.fingerprint, each.crashes, each.age, now);
+    if (poison_tracker::crashes_in(item).value_or(0) == 0 || !is_trusted(item.key, now)) {
+        return std::nullopt;
     }
+    return poison_.on_success(item.key, now);
 }
 
-std::vector<soft_state_item> crash_watch::items_for_newcomer(time_point now) const
+void crash_watch::on_recorded(std::span<const suspicion> recorded, time_point now)
 {
-    auto items = poison_.items(now);
-    std::ranges::stable_sort(items, std::greater{},
-                             [](const soft_state_item& each) { return poison_tracker::crashes_in(each); });
-    items.resize(std::min(items.size(), max_newcomer_items));
-    return items;
+    for (const auto& each : recorded) {
+        poison_.restore(each.fingerprint, each.crashes, each.age, now);
+    }
 }
 
 bool crash_watch::is_trusted(const std::string& fingerprint, time_point now) const
--- a/routing/crash_watch.h
+++ b/routing/crash_watch.h
@@ -28,10 +28,16 @@
     std::vector<soft_state_item> process_ended(std::string_view upstream, time_point now);
     std::optional<soft_state_item> ended_well(const std::string& fingerprint, time_point now);
     void on_item(const soft_state_item& item, time_point now) { poison_.soft_state_received(item, now); }
+    /// \returns the withdrawal to publish if another daemon suspects a request that has ended well here
+    /// lately. A daemon that has just started cannot know that.
+    std::optional<soft_state_item> refute(const soft_state_item& item, time_point now);
     /// The daemons that have recorded these suspicions may no longer run.
     void on_recorded(std::span<const suspicion> recorded, time_point now);
-    /// The suspicions to tell a daemon that has just started, those with most crashes first.
-    std::vector<soft_state_item> items_for_newcomer(time_point now) const;
+    /// The suspicion of this request, as an item to publish; nothing if there is none.
+    std::optional<soft_state_item> item_of(std::string_view fingerprint, time_point now) const
+    {
+        return poison_.item_of(fingerprint, now);
+    }
     bool is_quarantined(std::string_view fingerprint, time_point now) const;
     void expire(time_point now);
 
@@ -45,8 +51,6 @@
     /// Limit of remembered successful requests. When it is reached, new ones are ignored until old ones
     /// expire.
     static constexpr std::size_t max_trusted = 4096;
-    /// Some kilobytes, so that a report with them fits into a datagram.
-    static constexpr std::size_t max_newcomer_items = 64;
 
     bool is_trusted(const std::string& fingerprint, time_point now) const;
 
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -450,6 +450,9 @@
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
         suspicion_record_.received(item, now_);
+        if (auto withdrawal = crashes_.refute(item, now_)) {
+            publish_suspicion(std::move(*withdrawal));
+        }
     }
     if (daemon_starts_.heard(event.report.daemon, event.report.incarnation)) {
         brief_newcomer();
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -15,14 +15,25 @@
 
 /// Assumed time of a plain request at a service that has not responded to any yet.
 constexpr duration first_service_time = milliseconds(50);
+/// After this time a process has seen popular requests end well.
+constexpr duration first_good_ends = seconds(3);
 
 } // namespace
 
 void request_router::process_ended(std::string_view upstream)
 {
     placement_.engine_process_ended(upstream);
-    for (auto& item : crashes_.process_ended(upstream, now_)) {
-        publish_suspicion(std::move(item));
+    auto items = crashes_.process_ended(upstream, now_);
+    // Bystanders must not stay blamed across restarts. They are among several requests that were lost
+    // together, and a process that has just started has seen none of them end well: those suspicions are not
+    // recorded.
+    const bool is_new = started_at_ && now_ - *started_at_ < first_good_ends;
+    if (items.size() == 1 && !is_new) {
+        publish_suspicion(std::move(items.front()));
+        return;
+    }
+    for (auto& item : items) {
+        actions_.emplace_back(publish_soft_state{std::move(item)});
     }
 }
 
@@ -38,8 +49,10 @@
 
 void request_router::brief_newcomer()
 {
-    for (auto& item : crashes_.items_for_newcomer(now_)) {
-        actions_.emplace_back(publish_soft_state{std::move(item)});
+    for (const auto& each : suspicion_record_.to_tell(now_)) {
+        if (auto item = crashes_.item_of(each, now_)) {
+            actions_.emplace_back(publish_soft_state{std::move(*item)});
+        }
     }
 }
 
@@ -54,18 +67,20 @@
 {
     suspicions_listed_ = true;
     std::vector<suspicion> own;
-    std::size_t count = 0;
+    std::vector<suspicion> all;
     for (const auto& row : event.rows) {
-        crashes_.on_recorded(row.suspicions, now_);
-        count += row.suspicions.size();
+        all.insert(all.end(), row.suspicions.begin(), row.suspicions.end());
         if (row.daemon == settings_.daemon) {
             own = row.suspicions;
         }
     }
+    const auto merged = suspicion_record::merge(all);
+    crashes_.on_recorded(merged, now_);
     suspicion_record_.restore(own, now_);
-    actions_.emplace_back(
-        log_decision{"suspicions.read", "", "",
-                     "daemons " + std::to_string(event.rows.size()) + " requests " + std::to_string(count)});
+    brief_newcomer(); // Daemons that have seen one of these requests end well lately withdraw the suspicion.
+    actions_.emplace_back(log_decision{"suspicions.read", "", "",
+                                       "daemons " + std::to_string(event.rows.size()) + " requests " +
+                                           std::to_string(merged.size())});
 }
 
 void request_router::crashed(const upstream_record& upstream)
--- a/routing/suspicion_record.cpp
+++ b/routing/suspicion_record.cpp
@@ -2,6 +2,9 @@
 
 #include "policy/poison.h"
 
+#include <functional>
+#include <utility>
+
 namespace clementinegap {
 
 void suspicion_record::observed(const soft_state_item& item, time_point now)
@@ -10,30 +13,49 @@
     if (!crashes) {
         return;
     }
-    if (*crashes == 0) {
-        withdraw(item.key, now);
-        return;
-    }
     observed_[item.key] = {*crashes, now, now + item.lifetime};
     if (observed_.size() > max_suspicions) {
         observed_.erase(
             std::ranges::min_element(observed_, {}, [](const auto& each) { return each.second.at; }));
     }
-    request_write(std::max(now, written_at_ + min_write_interval));
+    const bool is_withdrawal = *crashes == 0;
+    request_write(is_withdrawal ? now + min_write_interval : std::max(now, written_at_ + min_write_interval));
 }
 
 void suspicion_record::received(const soft_state_item& item, time_point now)
 {
     if (poison_tracker::crashes_in(item) == 0U) {
-        withdraw(item.key, now);
+        if (observed_.erase(item.key) > 0) {
+            request_write(now + min_write_interval);
+        }
     }
 }
 
-void suspicion_record::withdraw(const std::string& fingerprint, time_point now)
+std::vector<suspicion> suspicion_record::merge(std::span<const suspicion> recorded)
 {
-    if (observed_.erase(fingerprint) > 0) {
-        request_write(now + withdrawal_delay);
+    std::map<std::string, duration> ended_well; // Ages.
+    for (const auto& each : recorded) {
+        if (each.crashes == 0) {
+            auto& age = ended_well.try_emplace(each.fingerprint, each.age).first->second;
+            age = std::min(age, each.age);
+        }
+    }
+    std::map<std::string, suspicion> result;
+    for (const auto& each : recorded) {
+        const auto cleared = ended_well.find(each.fingerprint);
+        if (each.crashes == 0 || (cleared != ended_well.end() && cleared->second <= each.age)) {
+            continue;
+        }
+        auto& known = result.try_emplace(each.fingerprint, each).first->second;
+        if (known.crashes < each.crashes) {
+            known = each;
+        }
+    }
+    std::vector<suspicion> merged;
+    for (auto& [fingerprint, each] : result) {
+        merged.push_back(std::move(each));
     }
+    return merged;
 }
 
 void suspicion_record::restore(std::span<const suspicion> recorded, time_point now)
@@ -48,6 +70,23 @@
     }
 }
 
+std::vector<std::string> suspicion_record::to_tell(time_point now) const
+{
+    std::vector<std::pair<std::uint32_t, std::string>> suspected;
+    for (const auto& [fingerprint, each] : observed_) {
+        if (each.crashes > 0 && now < each.expires_at) {
+            suspected.emplace_back(each.crashes, fingerprint);
+        }
+    }
+    std::ranges::sort(suspected, std::greater{});
+    suspected.resize(std::min(suspected.size(), max_told));
+    std::vector<std::string> result;
+    for (auto& [crashes, fingerprint] : suspected) {
+        result.push_back(std::move(fingerprint));
+    }
+    return result;
+}
+
 std::optional<std::vector<suspicion>> suspicion_record::due(time_point now)
 {
     if (!restored_ || now < write_at_) {
