Suspicions that another daemon has recorded are told to newcomers too

and_by_one_that_could_not_read_the_store_but_heard_of_another failed on: only the daemon that saw a crash told newcomers of it, and it was the one that had been killed and could not read the store. Recorded suspicions are marked in what daemons publish; those who hear one tell it to newcomers like their own. After: the test passes, with all others of its suites.

--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -44,6 +44,7 @@
     if (auto row = suspicion_record_.due(now_)) {
         actions_.emplace_back(record_suspicions{std::move(*row)});
     }
+    suspicion_record::mark_recorded(item);
     actions_.emplace_back(publish_soft_state{std::move(item)});
 }
 
@@ -51,6 +52,7 @@
 {
     for (const auto& each : suspicion_record_.to_tell(now_)) {
         if (auto item = crashes_.item_of(each, now_)) {
+            suspicion_record::mark_recorded(*item);
             actions_.emplace_back(publish_soft_state{std::move(*item)});
         }
     }
@@ -76,6 +78,7 @@
     }
     const auto merged = suspicion_record::merge(all);
     crashes_.on_recorded(merged, now_);
+    suspicion_record_.heard(merged, now_);
     suspicion_record_.restore(own, now_);
     brief_newcomer(); // Daemons that have seen one of these requests end well lately withdraw the suspicion.
     actions_.emplace_back(log_decision{"suspicions.read", "", "",
--- a/routing/suspicion_record.cpp
+++ b/routing/suspicion_record.cpp
@@ -13,6 +13,9 @@
     if (!crashes) {
         return;
     }
+    if (*crashes == 0) {
+        heard_.erase(item.key);
+    }
     observed_[item.key] = {*crashes, now, now + item.lifetime};
     if (observed_.size() > max_suspicions) {
         observed_.erase(
@@ -24,13 +27,28 @@
 
 void suspicion_record::received(const soft_state_item& item, time_point now)
 {
-    if (poison_tracker::crashes_in(item) == 0U) {
+    const auto crashes = poison_tracker::crashes_in(item);
+    if (crashes.value_or(0) > 0 && item.value.ends_with(recorded_mark) && heard_.size() < max_suspicions) {
+        heard_[item.key] = {*crashes, now, now + item.lifetime};
+    }
+    if (crashes == 0U) {
+        heard_.erase(item.key);
         if (observed_.erase(item.key) > 0) {
             request_write(now + min_write_interval);
         }
     }
 }
 
+void suspicion_record::heard(std::span<const suspicion> recorded, time_point now)
+{
+    const auto lifetime = poison_settings{}.lifetime;
+    for (const auto& each : recorded) {
+        if (heard_.size() < max_suspicions) {
+            heard_[each.fingerprint] = {each.crashes, now - each.age, now - each.age + lifetime};
+        }
+    }
+}
+
 std::vector<suspicion> suspicion_record::merge(std::span<const suspicion> recorded)
 {
     std::map<std::string, duration> ended_well; // Ages.
@@ -78,6 +96,11 @@
             suspected.emplace_back(each.crashes, fingerprint);
         }
     }
+    for (const auto& [fingerprint, each] : heard_) {
+        if (now < each.expires_at && !observed_.contains(fingerprint)) {
+            suspected.emplace_back(each.crashes, fingerprint);
+        }
+    }
     std::ranges::sort(suspected, std::greater{});
     suspected.resize(std::min(suspected.size(), max_told));
     std::vector<std::string> result;
@@ -95,6 +118,7 @@
     write_at_ = never;
     written_at_ = now;
     std::erase_if(observed_, [&](const auto& each) { return now >= each.second.expires_at; });
+    std::erase_if(heard_, [&](const auto& each) { return now >= each.second.expires_at; });
     std::vector<suspicion> row;
     for (const auto& [fingerprint, each] : observed_) {
         row.push_back({fingerprint, each.crashes, now - each.at});
--- a/routing/suspicion_record.h
+++ b/routing/suspicion_record.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace clementinegap {
@@ -32,6 +33,10 @@
     void observed(const soft_state_item& item, time_point now);
     /// Another daemon has told of a suspicion. Only a withdrawal concerns the own row.
     void received(const soft_state_item& item, time_point now);
+    /// Marks an item as one that its daemon records, so that others tell it to daemons that start later.
+    static void mark_recorded(soft_state_item& item) { item.value += recorded_mark; }
+    /// Suspicions that other daemons have recorded.
+    void heard(std::span<const suspicion> recorded, time_point now);
     /// What the rows of several daemons say together: the most crashes since a request has last ended well.
     /// The row of a daemon that was killed may hold suspicions that others have withdrawn since.
     static std::vector<suspicion> merge(std::span<const suspicion> recorded);
@@ -49,6 +54,7 @@
     static constexpr std::size_t max_suspicions = 256;
     /// Some kilobytes, so that a report with them fits into a datagram.
     static constexpr std::size_t max_told = 64;
+    static constexpr std::string_view recorded_mark = " recorded";
 
     struct observation {
         std::uint32_t crashes{0};
@@ -60,6 +66,7 @@
 
     bool restored_{false};
     std::map<std::string, observation> observed_; ///< By fingerprint.
+    std::map<std::string, observation> heard_;    ///< Recorded by others; by fingerprint.
     time_point write_at_{never};
     time_point written_at_{};
 };
