--- a/cluster/order_core.h
+++ b/cluster/order_core.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "cluster/fencing.h"
-#include "cluster/lease.h"
 #include "core/result_code.h"
 #include "core/tick.h"
 #include "core/time.h"
+#include "leases/fencing.h"
+#include "leases/lease.h"
 
 #include <cstdint>
 #include <deque>
--- a/cluster/fencing.cpp
+++ b/leases/fencing.cpp
@@ -1,4 +1,4 @@
-#include "cluster/fencing.h"
+#include "leases/fencing.h"
 
 namespace clementinegap {
 
--- a/cluster/lease.cpp
+++ b/leases/lease.cpp
@@ -1,4 +1,4 @@
-#include "cluster/lease.h"
+#include "leases/lease.h"
 
 #include "core/checked_json.h"
 
--- a/main/command_order.cpp
+++ b/main/command_order.cpp
@@ -3,8 +3,8 @@
 #include "adapters/http_client.h"
 #include "adapters/platform_client.h"
 #include "adapters/runtime.h"
-#include "cluster/lease.h"
 #include "cluster/order_core.h"
+#include "leases/lease.h"
 #include "main/order_service.h"
 
 #include <cstdio>
--- a/tests/cluster/test_order_core.cpp
+++ b/tests/cluster/test_order_core.cpp
@@ -1,6 +1,6 @@
-#include "cluster/lease.h"
 #include "cluster/order_core.h"
 #include "fakes/manual_scheduler.h"
+#include "leases/lease.h"
 
 #include <boost/test/unit_test.hpp>
 
