An entry without an incarnation does not undo what is known of its upstream

Cause: an entry of another writer that lacks `born` was taken for one of a new process (incarnation 0). It ended the leave notices of the upstream's own incarnation, so that a leaving upstream got requests again, and the requests at it were blamed for a crash.

Ruled out: requiring `born` when an entry is decoded. An upstream whose entries never name one could then not be used at all, and a listing would drop the upstream whose entry was written over.

Change: an entry without an incarnation is ignored and logged if the upstream's entry had one, also after its removal. A daemon that has read no other entry treats such an upstream as leaving while a leave notice of any of its incarnations is known.

--- a/routing/leaving_upstreams.cpp
+++ b/routing/leaving_upstreams.cpp
@@ -27,6 +27,10 @@
 
 bool leaving_upstreams::contains(std::string_view upstream, std::int64_t incarnation) const
 {
+    if (incarnation == 0) {
+        const auto known = known_.find(upstream);
+        return known != known_.end() && !known->second.empty();
+    }
     return find(upstream, incarnation) != nullptr;
 }
 
--- a/routing/leaving_upstreams.h
+++ b/routing/leaving_upstreams.h
@@ -14,7 +14,7 @@
 /// A notice that one incarnation of an upstream is leaving.
 struct leave_notice {
     std::string upstream;
-    std::int64_t incarnation{0}; ///< As in its directory entry.
+    std::int64_t incarnation{0}; ///< As in its directory entry; 0: its entry names none.
     bool operator==(const leave_notice&) const = default;
 };
 
@@ -27,6 +27,7 @@
     /// \param is_listed whether the directory lists this incarnation of the upstream.
     /// \returns whether the notice is new.
     bool add(const leave_notice& value, bool is_listed, time_point now);
+    /// \param incarnation 0 if its entry does not name one: any that is leaving may be meant.
     bool contains(std::string_view upstream, std::int64_t incarnation) const;
     /// The directory lists this incarnation of the upstream, and no earlier one.
     void listed(std::string_view upstream, std::int64_t incarnation);
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -167,6 +167,11 @@
 
 void request_router::on(const upstream_listed& event)
 {
+    if (directory_.lacks_incarnation(event.record)) {
+        actions_.emplace_back(
+            log_decision{"upstream.entry_ignored", "", event.record.id, "it lacks the incarnation"});
+        return;
+    }
     limits_.listed(event.record.id);
     const auto before = directory_.find(event.record.id);
     if (before && before->incarnation != event.record.incarnation) {
--- a/routing/upstream_directory.cpp
+++ b/routing/upstream_directory.cpp
@@ -54,6 +54,19 @@
     return found != removed_.end() && found->second.incarnation == upstream.incarnation;
 }
 
+bool upstream_directory::lacks_incarnation(const upstream_record& record) const
+{
+    if (record.incarnation != 0) {
+        return false;
+    }
+    const auto listed = upstreams_.find(record.id);
+    if (listed != upstreams_.end()) {
+        return listed->second.record->incarnation != 0;
+    }
+    const auto removed = removed_.find(record.id);
+    return removed != removed_.end() && removed->second.incarnation != 0;
+}
+
 void upstream_directory::directory_returned(time_point now)
 {
     if (!lost_) {
--- a/routing/upstream_directory.h
+++ b/routing/upstream_directory.h
@@ -33,6 +33,9 @@
     /// Whether this incarnation of the upstream was removed a while ago. A directory that comes back from an
     /// older copy lists it again.
     bool was_removed(const upstream_record& upstream) const;
+    /// Whether the record lacks the incarnation that its upstream had before. Another writer wrote it: it
+    /// says neither that the upstream is usable nor that its process has been replaced.
+    bool lacks_incarnation(const upstream_record& record) const;
     /// The directory could not be read. Entries removed from now until `restore_grace` after its recovery may
     /// be restored.
     void directory_lost() { lost_ = true; }
--- a/tests/routing/test_leave_notices.cpp
+++ b/tests/routing/test_leave_notices.cpp
@@ -134,6 +134,75 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an entry of another writer, which lacks the incarnation, in place of an upstream's own: it
+// was taken for one of a new process, and a leaving upstream got requests again.
+BOOST_FIXTURE_TEST_SUITE(beside_an_entry_without_incarnation, leave_notice_fixture)
+
+upstream_record without_incarnation(const std::string& id)
+{
+    auto record = router_fixture::upstream(id, "app");
+    record.incarnation = 0;
+    return record;
+}
+
+BOOST_AUTO_TEST_CASE(hold_if_they_came_in_a_response)
+{
+    give(upstream_listed{without_incarnation("p1")});
+    BOOST_TEST((used() == only_p2));
+    give(directory_listed{{without_incarnation("p1"), upstream("p2", "app")}, false});
+    BOOST_TEST((used() == only_p2));
+    BOOST_TEST(router.report(now).leave_notices.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hold_if_they_came_from_the_directory)
+{
+    auto draining = upstream("p2", "app");
+    draining.leaving = true;
+    give(upstream_listed{draining});
+    give(upstream_listed{without_incarnation("p2")});
+    BOOST_TEST((used(3) == nobody));
+}
+
+BOOST_AUTO_TEST_CASE(hold_after_the_own_entry_was_removed)
+{
+    give(upstream_removed{"p1"});
+    give(upstream_removed{"p2"});
+    give(upstream_listed{without_incarnation("p1")});
+    give(upstream_listed{without_incarnation("p2")});
+    BOOST_TEST((used(3) == nobody));
+}
+
+BOOST_AUTO_TEST_CASE(hold_at_a_daemon_that_has_read_no_other)
+{
+    give(upstream_listed{without_incarnation("p3")});
+    BOOST_TEST(used().contains("p3")); // No process of it is known to leave.
+    auto report = router.report(now);
+    report.daemon = "entry-2";
+    report.leave_notices = {{"p3", 7}};
+    give(load_reported{report, {}});
+    BOOST_TEST((used() == only_p2));
+}
+
+BOOST_AUTO_TEST_CASE(end_with_the_next_process)
+{
+    give(upstream_listed{without_incarnation("p1")});
+    auto again = upstream("p1", "app");
+    again.incarnation = 2;
+    give(upstream_listed{again});
+    BOOST_TEST(used().contains("p1"));
+}
+
+BOOST_AUTO_TEST_CASE(do_not_blame_its_requests_for_a_crash)
+{
+    give(upstream_listed{without_incarnation("p2")});
+    for (const auto& each : all<log_decision>()) {
+        BOOST_TEST(each.event != "upstream.crashed");
+    }
+    BOOST_TEST((used() == only_p2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(in_a_response, leave_notice_fixture)
 
 BOOST_AUTO_TEST_CASE(stop_all_new_work_regardless_of_the_directory)
