--- a/tests/routing/test_stream_versions.cpp
+++ b/tests/routing/test_stream_versions.cpp
@@ -1,5 +1,6 @@
 #include "routing/router_fixture.h"
 #include "routing/seed_range.h"
+#include "routing/software_versions.h"
 #include "routing/stream_simulation.h"
 
 #include <boost/test/unit_test.hpp>
@@ -99,6 +100,28 @@
     }
 }
 
+// Guards against a doubt that ended a while after the first end of a process, though the entry of the
+// upstream stayed the same and the process had ended again since.
+BOOST_AUTO_TEST_CASE(is_not_sent_to_an_upstream_whose_process_ended_again_a_moment_ago)
+{
+    software_versions versions;
+    auto restarted = router_fixture::upstream("e1", "llm");
+    restarted.software_version = "v1";
+    const stream_origin origin{"llm", "v1"};
+    const auto start = clementinegap::testing::start;
+    versions.listed(restarted, start);
+    BOOST_TEST(versions.can_continue(restarted, origin, start));
+    versions.process_ended("e1", restarted.incarnation, start);
+    versions.process_ended("e1", restarted.incarnation, start + seconds(4));
+    BOOST_TEST(!versions.can_continue(restarted, origin, start + seconds(6)));
+    BOOST_TEST_CONTEXT("nor do old news of it from another daemon end the doubt earlier")
+    {
+        versions.process_ended("e1", restarted.incarnation, start + seconds(1));
+        BOOST_TEST(!versions.can_continue(restarted, origin, start + seconds(8)));
+    }
+    BOOST_TEST(versions.can_continue(restarted, origin, start + seconds(10)));
+}
+
 BOOST_AUTO_TEST_SUITE(beside_kills_crashes_and_releases)
 
 /// \param most_mixed streams of a run that may have events of two versions.
