Usage duty in the entry daemon: counting, statements in reports, calls

Cause: nobody sends the platform's usage reports. The decisions are pure (duties/); the daemon has to count, tell the other daemons, and make the calls.

Ruled out: counting in the exchange, since only the router knows whether a request surely did not run or continues a stream; keeping a connection to the service open, since one call a window does not pay for the handling of stale connections.

--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -37,6 +37,13 @@
                                                            std::chrono::nanoseconds(value.tv_nsec)));
 }
 
+std::int64_t event_loop::unix_time_ms()
+{
+    timespec value{};
+    clock_gettime(CLOCK_REALTIME, &value);
+    return static_cast<std::int64_t>(value.tv_sec) * 1000 + value.tv_nsec / 1000000;
+}
+
 void event_loop::on_signal(int signal_number, std::function<void()> action)
 {
     auto watch = std::make_unique<signal_watch>();
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +23,8 @@
 
     /// Time since boot. It includes time in suspension, so ages stay correct across a suspension.
     static time_point now();
+    /// Time of day of this VM in milliseconds since the Unix epoch. It may be set at any moment.
+    static std::int64_t unix_time_ms();
 
     /// Calls `action` each time the process receives `signal_number`.
     void on_signal(int signal_number, std::function<void()> action);
--- a/net/http_client_connection.h
+++ b/net/http_client_connection.h
@@ -50,6 +50,9 @@
     void start(std::string request, exchange& owner);
     bool idle() const { return !busy_ && !ended_; }
     bool connected() const { return connected_; }
+    /// From now on the server gets a reset when the connection is closed or this process ends, so that the
+    /// system delivers nothing of a request after that.
+    void reset_on_close() { tcp_.reset_unless_ended(); }
     /// Closes the connection and ends the exchange without notifying it.
     void abandon();
     /// Fails the exchange if the connection is not established yet.
--- a/observability/metrics.cpp
+++ b/observability/metrics.cpp
@@ -87,7 +87,8 @@
           good_requests(counter("clementinegap_good_requests_total")),
           retries(counter("clementinegap_retries_total")), refusals(counter("clementinegap_refusals_total")),
           events(counter("clementinegap_events_total")), store_span(histogram("clementinegap_store_seconds")),
-          store_failures(counter("clementinegap_store_failures_total"))
+          store_failures(counter("clementinegap_store_failures_total")),
+          usage_windows(counter("clementinegap_usage_windows_total"))
     {
         for (const auto& definition : metric_table()) {
             if (definition.kind == metric_kind::gauge) {
@@ -151,12 +152,14 @@
     prometheus::Family<prometheus::Counter>& events;
     prometheus::Family<prometheus::Histogram>& store_span;
     prometheus::Family<prometheus::Counter>& store_failures;
+    prometheus::Family<prometheus::Counter>& usage_windows;
     std::mutex mutex;
     by_label<class_series> classes;
     by_label<prometheus::Histogram*> queue_waits;
     by_label<prometheus::Counter*> refused;
     by_label<prometheus::Counter*> kinds;
     by_label<store_series> operations;
+    by_label<prometheus::Counter*> usage_results;
     by_label<prometheus::Gauge*> gauges;
 
 private:
@@ -229,6 +232,15 @@
     })->Increment();
 }
 
+void metrics::usage_window_ended(std::string_view result)
+{
+    auto& self = *implementation_;
+    const std::lock_guard lock(self.mutex);
+    kept(self.usage_results, result, [&](const std::string& label) {
+        return &self.usage_windows.Add({{"result", label}});
+    })->Increment();
+}
+
 void metrics::store_called(std::string_view operation, double span, bool ok)
 {
     auto& self = *implementation_;
--- a/observability/metrics.h
+++ b/observability/metrics.h
@@ -44,6 +44,8 @@
 
     void request_ended(const measured_request& request);
     void event_counted(std::string_view kind);
+    /// Counts the usage report of a window by how it ended.
+    void usage_window_ended(std::string_view result);
     /// Counts a call of the platform.
     void store_called(std::string_view operation, double span, bool ok);
     /// Sets a gauge without labels; a name that is not in `metric_table` is ignored.
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -12,10 +12,11 @@
 
 entry_gateway::entry_gateway(event_loop& loop, request_router& router, decision_log& log, metrics& counters,
                              std::function<void(soft_state_item)> publish, quarantine_recorder record,
-                             stream_message_sender send_message, suspicion_recorder record_suspicions)
+                             stream_message_sender send_message, suspicion_recorder record_suspicions,
+                             usage_counter count_usage)
     : loop_(loop), router_(router), log_(log), counters_(counters), publish_(std::move(publish)),
       record_(std::move(record)), send_message_(std::move(send_message)),
-      record_suspicions_(std::move(record_suspicions)), pool_(loop),
+      record_suspicions_(std::move(record_suspicions)), count_usage_(std::move(count_usage)), pool_(loop),
       listener_(loop, [this](uv_stream_t* listening) { on_connection(listening); })
 {
 }
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -26,6 +26,8 @@
     using quarantine_recorder =
         std::function<void(std::uint64_t part, const std::optional<quarantined_part>& quarantined)>;
     using stream_message_sender = std::function<void(const send_stream_message&)>;
+    /// Counts a request of this workspace that began to run.
+    using usage_counter = std::function<void(std::string_view workspace)>;
     /// Writes the row with the suspicions of this daemon to the store.
     using suspicion_recorder = std::function<void(std::span<const suspicion>)>;
 
@@ -34,7 +36,8 @@
         std::function<void(soft_state_item)> publish,
         quarantine_recorder record = [](std::uint64_t, const auto&) {},
         stream_message_sender send_message = [](const auto&) {},
-        suspicion_recorder record_suspicions = [](const auto&) {});
+        suspicion_recorder record_suspicions = [](const auto&) {},
+        usage_counter count_usage = [](std::string_view) {});
     ~entry_gateway() override;
     entry_gateway(const entry_gateway&) = delete;
     entry_gateway& operator=(const entry_gateway&) = delete;
@@ -84,6 +87,7 @@
     void apply(const recall_unsent& action);
     void apply(const log_decision& action);
     void apply(const measure_request& action);
+    void apply(const count_usage& action) { count_usage_(action.workspace); }
     void apply(const publish_soft_state& action) { publish_(action.item); }
     void apply(const record_quarantine& action) { record_(action.quarantined.part, action.quarantined); }
     void apply(const remove_quarantine_record& action) { record_(action.part, std::nullopt); }
@@ -98,6 +102,7 @@
     quarantine_recorder record_;
     stream_message_sender send_message_;
     suspicion_recorder record_suspicions_;
+    usage_counter count_usage_;
     upstream_pool pool_;
     tcp_listener listener_;
     std::unordered_map<http_server_connection*, caller> callers_;
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -1,13 +1,10 @@
 #include "router/entry_process.h"
 
-#include "platform/directory_rows.h"
 #include "platform/header_names.h"
-#include "router/quarantine_rows.h"
 #include "router/suspicion_rows.h"
 
 #include <algorithm>
 #include <csignal>
-#include <ctime>
 #include <utility>
 
 namespace clementinegap {
@@ -22,15 +19,7 @@
 /// A relay that is disconnected from the store is detected within two seconds, after which its readers read
 /// the store themselves. Relays are therefore only used if changes may take this long to propagate.
 constexpr duration min_relay_bound = seconds(3);
-/// Key of the recorded configuration in the table of daemons, which every daemon follows.
-constexpr std::string_view configuration_record_key = "configuration/in-force";
-
-std::int64_t unix_time_ms()
-{
-    timespec value{};
-    clock_gettime(CLOCK_REALTIME, &value);
-    return static_cast<std::int64_t>(value.tv_sec) * 1000 + value.tv_nsec / 1000000;
-}
+constexpr std::string_view usage_duty_name = "usage";
 
 /// Bytes of requests and responses that the process holds. The rest of the memory is for the process itself
 /// and for what it holds in small shares.
@@ -78,8 +67,8 @@
 
 entry_process::entry_process(entry_settings settings, std::string settings_file)
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)),
-      incarnation_(static_cast<std::uint64_t>(unix_time_ms())), log_(settings_.vm, settings_.log_level),
-      router_(router_settings_of(settings_, incarnation_)),
+      incarnation_(static_cast<std::uint64_t>(event_loop::unix_time_ms())),
+      log_(settings_.vm, settings_.log_level), router_(router_settings_of(settings_, incarnation_)),
       peers_(
           loop_, zone_number(settings_.zone), [this](load_reported report) { on_report(std::move(report)); },
           [this](stream_message_received message) { gateway_.post(std::move(message)); },
@@ -90,7 +79,12 @@
               record_quarantine(part, quarantined);
           },
           [this](const send_stream_message& message) { peers_.send(settings_.vm, message); },
-          [this](std::span<const suspicion> suspicions) { record_suspicions(suspicions); }),
+          [this](std::span<const suspicion> suspicions) { record_suspicions(suspicions); },
+          [this](std::string_view workspace) {
+              if (duty_) {
+                  duty_->count(workspace);
+              }
+          }),
       probes_(loop_, [this](std::string_view path) { return probe(path); }),
       fetch_(loop_, [this](const std::string& text) { apply_configuration(text, "peer"); }),
       catch_up_(event_loop::now()), configuration_record_(settings_.vm),
@@ -112,6 +106,33 @@
               }
           }))
 {
+    begin_duties();
+}
+
+void entry_process::begin_duties()
+{
+    if (!settings_.duties) {
+        return;
+    }
+    const auto& duties = *settings_.duties;
+    bool is_usage_wanted = false;
+    for (const auto& name : duties.names) {
+        is_usage_wanted = is_usage_wanted || name == usage_duty_name;
+        if (name != usage_duty_name) {
+            log_.info("duty.unknown", name);
+        }
+    }
+    if (!is_usage_wanted) {
+        return;
+    }
+    duty_runner::settings values;
+    values.usage = {settings_.vm, incarnation_, duties.usage_window, duties.usage_late, duties.lease_term};
+    values.store = settings_.store_address;
+    values.service = duties.service;
+    values.calls_per_second = duties.calls_per_second;
+    duty_ = std::make_unique<duty_runner>(
+        loop_, std::move(values), &event_loop::unix_time_ms,
+        [this](std::string_view event, std::string_view detail) { log_.info(event, detail); }, counters_);
 }
 
 int entry_process::run()
@@ -156,10 +177,16 @@
     if (suspicions_write_) {
         suspicions_write_->run(now);
     }
+    if (duty_) {
+        duty_->run(now);
+    }
     if (now >= next_report_) {
         auto report = router_.report(now);
         report.next_in = peers_.interval();
         report.relay = tables_.offer(now);
+        if (duty_) {
+            report.usage = duty_->statement(now);
+        }
         peers_.send(report);
         next_report_ = now + peers_.interval();
     }
@@ -199,92 +226,10 @@
     if (suspicions_write_) {
         due = std::min(due, suspicions_write_->due());
     }
-    loop_.wake_at(due, [this] { wake(); });
-}
-
-void entry_process::on_rows(store_tables::table which, table_follower::progress progress)
-{
-    if (progress.overdue) {
-        next_report_ = event_loop::now(); // The others may not know of the change either.
-    }
-    switch (which) {
-    case store_tables::table::configuration:
-        on_configuration(std::move(progress));
-        return;
-    case store_tables::table::directory:
-        on_directory(std::move(progress));
-        return;
-    case store_tables::table::daemons:
-        on_daemons(std::move(progress));
-        return;
-    }
-}
-
-void entry_process::on_configuration(table_follower::progress progress)
-{
-    if (progress.lost || progress.regained) {
-        log_.info(progress.lost ? "configuration.store_lost" : "configuration.store_regained", "");
-        configuration_record_.on_reachable(progress.regained);
-        configuration_write_.reset();
-    }
-    bool is_stored = !progress.is_snapshot;
-    for (const auto& row : progress.changes) {
-        if (row.key != platform_names::configuration_key || row.deleted) {
-            continue;
-        }
-        is_stored = true;
-        if (const auto version = apply_configuration(row.value, "store")) {
-            configuration_record_.on_stored(*version);
-        }
-    }
-    if (!is_stored) {
-        configuration_record_.on_stored(0);
-    }
-}
-
-std::optional<std::uint64_t> entry_process::apply_configuration(const std::string& text,
-                                                                std::string_view source)
-{
-    auto table = decode_configuration(text);
-    if (!table) {
-        log_.warn("configuration.unreadable", std::string(source) + ": " + table.error().message);
-        return std::nullopt;
-    }
-    const auto version = table.value()->version();
-    if (version <= version_in_force()) {
-        return version;
-    }
-    configuration_text_ = text;
-    log_.info("configuration.received",
-              "version " + std::to_string(version) + " from " + std::string(source));
-    gateway_.post(configuration_received{std::move(table.value())});
-    return version;
-}
-
-std::uint64_t entry_process::version_in_force() const
-{
-    return router_.table() == nullptr ? 0 : router_.table()->version();
-}
-
-void entry_process::record_configuration(time_point now)
-{
-    const auto version = version_in_force();
-    if (!configuration_record_.is_pending(version)) {
-        return;
-    }
-    switch (configuration_record_.due(version, router_.other_members(), now)) {
-    case configuration_record::change::none:
-        return;
-    case configuration_record::change::write:
-        log_.info("configuration.recorded", "version " + std::to_string(version) + ", the store's is older");
-        configuration_write_.emplace(loop_, settings_.store_address, store_tables::daemons_table,
-                                     configuration_record_key, configuration_text_);
-        return;
-    case configuration_record::change::remove:
-        configuration_write_.emplace(loop_, settings_.store_address, store_tables::daemons_table,
-                                     configuration_record_key, std::nullopt);
-        return;
+    if (duty_) {
+        due = std::min(due, duty_->due());
     }
+    loop_.wake_at(due, [this] { wake(); });
 }
 
 void entry_process::on_report(load_reported report)
@@ -299,136 +244,11 @@
         tables_.ask_at_once(store_tables::table::configuration);
     }
     tables_.on_report(report.report, version_in_force(), event_loop::now());
-    gateway_.post(std::move(report));
-}
-
-void entry_process::on_directory(table_follower::progress progress)
-{
-    if (progress.lost) {
-        gateway_.post(directory_unreachable{});
-    }
-    if (progress.regained) {
-        gateway_.post(directory_reachable{});
-    }
-    directory_listed listing;
-    listing.restored = progress.restored;
-    for (const auto& row : progress.changes) {
-        if (row.deleted) {
-            gateway_.post(upstream_removed{row.key});
-            continue;
-        }
-        auto record = decode_upstream(row.key, row.value);
-        if (!record) {
-            log_.warn("directory.unreadable", row.key + ": " + record.error().message);
-            continue;
-        }
-        if (progress.is_snapshot) {
-            listing.records.push_back(std::move(record.value()));
-        } else {
-            gateway_.post(upstream_listed{std::move(record.value())});
-        }
-    }
-    if (progress.is_snapshot) {
-        gateway_.post(std::move(listing));
-    }
-}
-
-void entry_process::on_daemons(table_follower::progress progress)
-{
-    registration_.on_rows(progress);
-    if (progress.is_snapshot) {
-        daemon_addresses_.clear();
-        configuration_record_.on_recorded(0);
-    }
-    quarantines_recorded recorded;
-    recorded.is_listing = progress.is_snapshot;
-    for (const auto& row : progress.changes) {
-        if (row.key == configuration_record_key) {
-            const auto version = row.deleted ? std::nullopt : apply_configuration(row.value, "record");
-            configuration_record_.on_recorded(version.value_or(0));
-            continue;
-        }
-        if (const auto part = part_of_quarantine_row(row.key)) {
-            if (last_change(progress.changes, row.key) != &row) {
-                continue;
-            }
-            const auto read = decode_quarantine_row(*part, row.value, unix_time_ms());
-            if (!row.deleted && read) {
-                recorded.parts.push_back(read.value());
-                continue;
-            }
-            if (!row.deleted) {
-                log_.warn("quarantine.unreadable", row.key + ": " + read.error().message);
-            }
-            recorded.removed.push_back(*part);
-            continue;
-        }
-        const auto address = parse_endpoint(row.value);
-        if (row.deleted || !address || address->port == 0) {
-            daemon_addresses_.erase(row.key);
-        } else {
-            daemon_addresses_[row.key] = *address;
-        }
-    }
-    if (recorded.is_listing || !recorded.parts.empty() || !recorded.removed.empty()) {
-        gateway_.post(std::move(recorded));
-    }
-    if (progress.changes.empty()) {
-        return;
+    if (duty_) {
+        duty_->heard(report.report, event_loop::now());
     }
-    auto others = daemon_addresses_;
-    others.erase(settings_.vm);
-    fleet_size_known fleet{others.size() + 1};
-    for (const auto& [name, address] : others) {
-        fleet.others.push_back(name);
-    }
-    gateway_.post(std::move(fleet));
-    tables_.set_peers(others);
-    peers_.set_peers(std::move(others));
-}
-
-void entry_process::record_quarantine(std::uint64_t part, const std::optional<quarantined_part>& quarantined)
-{
-    const auto value =
-        quarantined ? std::optional(encode_quarantine_row(*quarantined, unix_time_ms())) : std::nullopt;
-    quarantine_writes_.erase(part);
-    quarantine_writes_.try_emplace(part, loop_, settings_.store_address, store_tables::daemons_table,
-                                   quarantine_row_key(part), value);
-}
-
-void entry_process::record_suspicions(std::span<const suspicion> suspicions)
-{
-    suspicions_write_.emplace(loop_, settings_.store_address, suspicions_table, settings_.vm,
-                              encode_suspicions(suspicions, unix_time_ms()));
-    suspicions_write_->run(event_loop::now());
-}
-
-void entry_process::read_suspicions(time_point now)
-{
-    if (suspicions_read_) {
-        suspicions_reader_.reset();
-    }
-    if (suspicions_reader_) {
-        suspicions_reader_->run(now);
-    }
-}
-
-void entry_process::on_suspicions(const table_follower::progress& progress)
-{
-    if (!progress.is_snapshot) {
-        return;
-    }
-    suspicions_read_ = true;
-    suspicions_listed listing;
-    for (const auto& row : progress.changes) {
-        auto read = decode_suspicions(row.value, unix_time_ms());
-        if (!read) {
-            log_.warn("suspicions.unreadable", row.key + ": " + read.error().message);
-            continue;
-        }
-        listing.rows.push_back({row.key, std::move(read.value())});
-    }
-    gateway_.post(std::move(listing));
+    report.report.usage.reset(); // The load tracker keeps reports and has no use for it.
+    gateway_.post(std::move(report));
 }
 
 probe_server::response entry_process::probe(std::string_view path)
@@ -449,6 +269,9 @@
             counters_.set(std::string("clementinegap_") + name + "_unconfirmed_seconds",
                           std::chrono::duration<double>(age).count());
         }
+        if (duty_) {
+            duty_->measure(event_loop::now());
+        }
         const auto* table = router_.table();
         counters_.set("clementinegap_configuration_version",
                       table == nullptr ? 0 : static_cast<double>(table->version()));
@@ -511,6 +334,9 @@
         if (suspicions_reader_) {
             suspicions_reader_->set_store(next.store_address);
         }
+        if (duty_) {
+            duty_->set_store(next.store_address);
+        }
     }
     // The listening addresses cannot change while the process runs.
     log_.info("daemon.reloaded", "store " + to_string(settings_.store_address));
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -2,6 +2,7 @@
 
 #include "router/configuration_fetch.h"
 #include "router/decision_log.h"
+#include "router/duty_runner.h"
 #include "router/entry_gateway.h"
 #include "router/entry_settings.h"
 #include "router/peer_link.h"
@@ -43,6 +44,8 @@
     /// Records the configuration in the store if that is up to this daemon.
     void record_configuration(time_point now);
     void record_quarantine(std::uint64_t part, const std::optional<quarantined_part>& quarantined);
+    /// Starts the duties that the settings name.
+    void begin_duties();
     void record_suspicions(std::span<const suspicion> suspicions);
     void on_suspicions(const table_follower::progress& progress);
     /// Reads the recorded suspicions until that has succeeded once.
@@ -79,6 +82,7 @@
     std::unique_ptr<table_reader> suspicions_reader_;
     bool suspicions_read_{false};
     std::optional<row_writer> suspicions_write_;
+    std::unique_ptr<duty_runner> duty_; ///< nullptr where the settings have no duty.
     std::map<std::string, endpoint> daemon_addresses_;
     std::string settings_text_;
     time_point next_settings_check_{};
--- a/router/entry_settings.cpp
+++ b/router/entry_settings.cpp
@@ -3,6 +3,8 @@
 #include "core/checked_json.h"
 #include "routing/scaled_duration.h"
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -19,6 +21,28 @@
     return parsed.value_or(endpoint{});
 }
 
+/// \returns nothing if one of the settings is absent.
+std::optional<duty_settings> read_duties(object_reader& reader)
+{
+    constexpr std::array names{
+        "platform_service_address", "duties", "usage_window_s", "usage_late_s", "duty_lease_ms",
+        "duty_calls_per_s"};
+    constexpr double max_window_s = 86400;
+    constexpr double max_lease_ms = 600000;
+    constexpr double max_calls_per_s = 1e6;
+    const bool is_complete = std::ranges::all_of(names, [&](const auto* name) { return reader.has(name); });
+    duty_settings result;
+    if (reader.has("platform_service_address")) {
+        result.service = read_endpoint(reader, "platform_service_address");
+    }
+    result.names = reader.strings("duties");
+    result.usage_window = scaled(seconds(1), reader.number("usage_window_s", 0.1, max_window_s, 1));
+    result.usage_late = scaled(seconds(1), reader.number("usage_late_s", 0.1, max_window_s, 1));
+    result.lease_term = scaled(milliseconds(1), reader.number("duty_lease_ms", 100, max_lease_ms, 1000));
+    result.calls_per_second = reader.number("duty_calls_per_s", 0.001, max_calls_per_s, 1);
+    return is_complete ? std::optional(result) : std::nullopt;
+}
+
 } // namespace
 
 outcome<entry_settings> entry_settings_from_text(std::string_view text)
@@ -62,6 +86,7 @@
     result.stop_grace = scaled(seconds(1), reader.number("stop_grace_s", 1, max_seconds, 8));
     constexpr double max_buffer_mb = 65536;
     result.buffer_limit_mb = static_cast<std::size_t>(reader.number("buffer_limit_mb", 0, max_buffer_mb, 0));
+    result.duties = read_duties(reader);
     reader.finish();
     if (!faults.empty()) {
         return failure(result_code::invalid_settings, faults.text());
--- a/router/entry_settings.h
+++ b/router/entry_settings.h
@@ -8,12 +8,23 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace clementinegap {
 
+/// Settings of the duties that one daemon at a time performs for the fleet.
+struct duty_settings {
+    endpoint service;               ///< The platform's own service.
+    std::vector<std::string> names; ///< The duties that the fleet is to perform.
+    duration usage_window{0};       ///< Length of a window of the usage reports.
+    duration usage_late{0};         ///< Time after the end of a window until its report is due.
+    duration lease_term{0};
+    double calls_per_second{0}; ///< That the service accepts from all daemons together.
+};
+
 /// Settings of an entry daemon that routes directly to upstreams, read from a file of JSON with comments.
 struct entry_settings {
     std::string vm;
@@ -35,6 +46,7 @@
     duration longest_pause{minutes(10)}; ///< Longest Retry-After of an upstream that is honoured.
     duration stop_grace{seconds(8)};     ///< From SIGTERM until the process is killed.
     std::size_t buffer_limit_mb{0};      ///< Of requests and responses; 0: by the memory of the VM.
+    std::optional<duty_settings> duties; ///< Nothing unless all settings of duties are there.
 };
 
 /// Parses and validates a settings text. \returns `invalid_settings` with every fault, one per line, if any.
--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -1,6 +1,7 @@
 #include "router/report_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace clementinegap {
 namespace {
@@ -8,7 +9,7 @@
 using nlohmann::json;
 
 /// To be incremented with every change of the layout; daemons reject reports of another layout version.
-constexpr int layout_version = 12;
+constexpr int layout_version = 13;
 
 json encode_prompt_parts(const prompt_part_statements& statements)
 {
@@ -92,6 +93,56 @@
     return status;
 }
 
+/// Names each workspace once; the counts of a window follow their order.
+json encode_usage(const std::optional<usage_statement>& usage)
+{
+    if (!usage) {
+        return {};
+    }
+    std::set<std::string> workspaces;
+    for (const auto& window : usage->windows) {
+        for (const auto& [workspace, count] : window.counts) {
+            workspaces.insert(workspace);
+        }
+    }
+    json windows = json::array();
+    for (const auto& window : usage->windows) {
+        json row = json::array({window.window});
+        for (const auto& workspace : workspaces) {
+            const auto found = window.counts.find(workspace);
+            row.push_back(found == window.counts.end() ? 0 : found->second);
+        }
+        windows.push_back(std::move(row));
+    }
+    const auto& duty = usage->duty;
+    return json::array({usage->unix_ms, workspaces, std::move(windows),
+                        json::array({duty.holder, duty.token, duty.version, duty.sent})});
+}
+
+std::optional<usage_statement> decode_usage(const json& row)
+{
+    if (row.is_null()) {
+        return std::nullopt;
+    }
+    usage_statement usage;
+    usage.unix_ms = row.at(0).get<std::int64_t>();
+    const auto workspaces = row.at(1).get<std::vector<std::string>>();
+    for (const auto& each : row.at(2)) {
+        usage_report window{each.at(0).get<window_number>(), {}};
+        for (std::size_t index = 0; index < workspaces.size(); ++index) {
+            const auto count = each.at(index + 1).get<std::uint64_t>();
+            if (count > 0) {
+                window.counts[workspaces[index]] = count;
+            }
+        }
+        usage.windows.push_back(std::move(window));
+    }
+    const auto& duty = row.at(3);
+    usage.duty = {duty.at(0).get<std::string>(), duty.at(1).get<std::uint64_t>(),
+                  duty.at(2).get<std::uint64_t>(), duty.at(3).get<window_number>()};
+    return usage;
+}
+
 } // namespace
 
 std::string encode_report(const load_report& report, std::span<const soft_state_item> items)
@@ -140,7 +191,10 @@
                            encode_relay_status(report.relay),
                            leave_notices,
                            limits,
-                           encode_prompt_parts(report.prompt_parts)};
+                           encode_prompt_parts(report.prompt_parts),
+                           encode_usage(report.usage),
+                           json::array(),  // Speeds of engines.
+                           json::array()}; // Failures of plain upstreams.
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -192,6 +246,7 @@
                                      rate.is_null() ? std::nullopt : std::optional(rate.get<double>())});
         }
         report.prompt_parts = decode_prompt_parts(document.at(14));
+        report.usage = decode_usage(document.at(15));
         for (const auto& each : document.at(7)) {
             soft_state_item item;
             item.origin = report.daemon;
--- a/routing/load_tracker.h
+++ b/routing/load_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "duties/usage_statement.h"
 #include "routing/engine_speed.h"
 #include "routing/leaving_upstreams.h"
 #include "routing/prompt_cache_view.h"
@@ -10,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -57,6 +59,7 @@
     std::vector<limit_statement> limits{};     ///< Rate limits that upstreams named.
     prompt_part_statements prompt_parts{};     ///< Parts that crash upstreams.
     relay_status relay{};                      ///< The platform's table rows that the daemon can serve.
+    std::optional<usage_statement> usage{};    ///< Nothing where no daemon sends usage reports.
 };
 
 /// Tracks the load of every upstream as the sum of this daemon's own load and the latest reports of the other
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -132,6 +132,10 @@
     /// The upstreams that may get this request.
     std::vector<upstream_ptr> usable_for(const routed_request& request) const;
 
+    /// An upstream began to run this request: it counts as used once, however often it is sent.
+    void begun(routed_request& request);
+    /// The same, if this is a plain request. Streams begin with their first event.
+    void plain_may_have_begun(routed_request& request);
     upstream_choice choose(const routed_request& request) const;
     bool try_send(routed_request& request);
     void release(routed_request& request);
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -60,8 +60,9 @@
     duration expected_wait{0};      ///< Expected wait at the last chosen upstream.
     std::uint32_t unreachable{0};
     bool may_have_run{false};
-    bool is_probe{false}; ///< Whether the current send probes an upstream after a backoff.
-    bool waiting{false};  ///< Whether it is queued until an upstream of its service accepts requests.
+    bool is_counted{false}; ///< It has begun to run and was counted for its workspace.
+    bool is_probe{false};   ///< Whether the current send probes an upstream after a backoff.
+    bool waiting{false};    ///< Whether it is queued until an upstream of its service accepts requests.
 
     bool can_be_resumed() const { return matched_route->repeat == repeat_rule::resumable; }
     bool is_generation() const { return prompt.is_generation(); }
--- a/routing/router_events.h
+++ b/routing/router_events.h
@@ -217,6 +217,11 @@
     std::uint32_t sends{0};
 };
 
+/// A request of this workspace began to run; given once for each request.
+struct count_usage {
+    std::string workspace;
+};
+
 /// Publish a soft state item to the other daemons.
 struct publish_soft_state {
     soft_state_item item;
@@ -245,7 +250,7 @@
 
 using router_action =
     std::variant<send_request, respond_to_caller, pass_failure, abort_caller, stop_send, recall_unsent,
-                 log_decision, measure_request, publish_soft_state, record_quarantine,
+                 log_decision, measure_request, count_usage, publish_soft_state, record_quarantine,
                  remove_quarantine_record, record_suspicions, send_stream_message>;
 
 } // namespace clementinegap
--- a/stand_ins/program/routed_stand_in.cpp
+++ b/stand_ins/program/routed_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/routed_store.h"
 #include "stand_ins/routed_upstream.h"
+#include "stand_ins/usage_service.h"
 
 #include <csignal>
 #include <cstdio>
@@ -96,31 +97,74 @@
     return 0;
 }
 
+/// Runs the platform's service. It prints each report as "usage HOLDER TOKEN WINDOW [WORKSPACE COUNT]..." and
+/// each broken rule as "broken HOLDER RULE WINDOW". SIGUSR1: it is busy from now on; SIGUSR2: silent; SIGHUP:
+/// neither.
+int run_service(std::uint16_t port, duration lease_term)
+{
+    event_loop loop;
+    usage_service service(loop, lease_term);
+    service.on_report([](const usage_service::received_report& report) {
+        std::printf("usage %s %llu %lld", report.holder.c_str(),
+                    static_cast<unsigned long long>(report.token), static_cast<long long>(report.window));
+        for (const auto& [workspace, count] : report.counts) {
+            std::printf(" %s %llu", workspace.c_str(), static_cast<unsigned long long>(count));
+        }
+        std::printf("\n");
+        std::fflush(stdout);
+    });
+    service.on_fault([](const usage_service::received_report& report, std::string_view rule) {
+        std::printf("broken %s %s %lld\n", report.holder.c_str(), std::string(rule).c_str(),
+                    static_cast<long long>(report.window));
+        std::fflush(stdout);
+    });
+    if (!service.listen(port)) {
+        return exit_cannot_listen;
+    }
+    loop.on_signal(SIGUSR1, [&] { service.set_weather(usage_service::weather::busy); });
+    loop.on_signal(SIGUSR2, [&] { service.set_weather(usage_service::weather::silent); });
+    loop.on_signal(SIGHUP, [&] { service.set_weather(usage_service::weather::fair); });
+    loop.on_signal(SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     int store = 0;
     int upstream = 0;
+    int service = 0;
+    int lease_ms = 3000;
     int pace_ms = 20;
     char* deadly_part = nullptr;
     char* version = nullptr;
-    const poptOption options[] = {{"store", 's', POPT_ARG_INT, &store, 0, "serve a store", "PORT"},
-                                  {"upstream", 'u', POPT_ARG_INT, &upstream, 0, "serve an upstream", "PORT"},
-                                  {"pace-ms", 'p', POPT_ARG_INT, &pace_ms, 0,
-                                   "time of an answer and of each event of a stream", "MILLISECONDS"},
-                                  {"deadly-part", 'd', POPT_ARG_STRING, &deadly_part, 0,
-                                   "crash on requests with this shared prompt part", "ID"},
-                                  {"software-version", 'v', POPT_ARG_STRING, &version, 0,
-                                   "name this version in each event of a stream", "TEXT"},
-                                  POPT_AUTOHELP POPT_TABLEEND};
+    const poptOption options[] = {
+        {"store", 's', POPT_ARG_INT, &store, 0, "serve a store", "PORT"},
+        {"upstream", 'u', POPT_ARG_INT, &upstream, 0, "serve an upstream", "PORT"},
+        {"usage-service", 'r', POPT_ARG_INT, &service, 0, "serve the platform's service for usage reports",
+         "PORT"},
+        {"lease-ms", 'l', POPT_ARG_INT, &lease_ms, 0, "term of the lease of the usage duty", "MILLISECONDS"},
+        {"pace-ms", 'p', POPT_ARG_INT, &pace_ms, 0, "time of an answer and of each event of a stream",
+         "MILLISECONDS"},
+        {"deadly-part", 'd', POPT_ARG_STRING, &deadly_part, 0,
+         "crash on requests with this shared prompt part", "ID"},
+        {"software-version", 'v', POPT_ARG_STRING, &version, 0, "name this version in each event of a stream",
+         "TEXT"},
+        POPT_AUTOHELP POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext("routed_stand_in", argc, const_cast<const char**>(argv), options, 0),
         &poptFreeContext);
-    if (poptGetNextOpt(context.get()) < -1 || (store == 0) == (upstream == 0)) {
-        std::fprintf(stderr, "usage: routed_stand_in --store PORT | --upstream PORT [--pace-ms N]\n");
+    const int roles = (store != 0 ? 1 : 0) + (upstream != 0 ? 1 : 0) + (service != 0 ? 1 : 0);
+    if (poptGetNextOpt(context.get()) < -1 || roles != 1) {
+        std::fprintf(stderr, "usage: routed_stand_in --store PORT | --upstream PORT [--pace-ms N] | "
+                             "--usage-service PORT [--lease-ms N]\n");
         return exit_usage;
     }
+    if (service != 0) {
+        return run_service(static_cast<std::uint16_t>(service), milliseconds(lease_ms));
+    }
     return store != 0
                ? run_store(static_cast<std::uint16_t>(store))
                : run_upstream(static_cast<std::uint16_t>(upstream), milliseconds(pace_ms),
--- a/stand_ins/routed_store.cpp
+++ b/stand_ins/routed_store.cpp
@@ -52,14 +52,40 @@
     history_.push_back(std::move(made));
 }
 
-const std::string* routed_store::value(const std::string& table, const std::string& key) const
+const routed_store::stored* routed_store::find(const std::string& table, const std::string& key) const
 {
     const auto rows = tables_.find(table);
     if (rows == tables_.end()) {
         return nullptr;
     }
     const auto row = rows->second.find(key);
-    return row == rows->second.end() || row->second.deleted ? nullptr : &row->second.value;
+    return row == rows->second.end() || row->second.deleted ? nullptr : &row->second;
+}
+
+const std::string* routed_store::value(const std::string& table, const std::string& key) const
+{
+    const auto* row = find(table, key);
+    return row == nullptr ? nullptr : &row->value;
+}
+
+std::string routed_store::rows_of_failed_condition(const std::string& body) const
+{
+    json rows = json::array();
+    bool has_failed = false;
+    for (const auto& each : json::parse(body).value("expected", json::array())) {
+        const auto table = each.at("table").get<std::string>();
+        const auto key = each.at("key").get<std::string>();
+        const auto* row = find(table, key);
+        has_failed = has_failed || each.at("ver").get<std::uint64_t>() != (row == nullptr ? 0 : row->version);
+        if (row != nullptr) {
+            rows.push_back({{"table", table},
+                            {"part", ""},
+                            {"key", key},
+                            {"ver", row->version},
+                            {"value", base64_encode(row->value)}});
+        }
+    }
+    return has_failed ? json{{"rows", std::move(rows)}, {"ver", version_}, {"now_ms", 1}}.dump() : "";
 }
 
 void routed_store::set_weather(weather next)
@@ -205,6 +231,10 @@
         reply(from, 400, "{}");
         return;
     }
+    if (const auto rows = rows_of_failed_condition(body); !rows.empty()) {
+        reply(from, 412, rows);
+        return;
+    }
     for (const auto& each : document.at("set_keys")) {
         const auto value = base64_decode(each.at("value").get<std::string>());
         apply({each.at("table").get<std::string>(),
--- a/stand_ins/routed_store.h
+++ b/stand_ins/routed_store.h
@@ -73,6 +73,10 @@
     std::string changes(const std::string& table, std::uint64_t after) const;
     void answer_waiting();
     void apply(change made);
+    /// The row, where it exists.
+    const stored* find(const std::string& table, const std::string& key) const;
+    /// The current rows of those expected; nothing if all have their expected versions.
+    std::string rows_of_failed_condition(const std::string& body) const;
     void transact(http_server_connection& from, const std::string& body);
 
     event_loop& loop_;
