--- a/leases/lease.cpp
+++ b/leases/lease.cpp
@@ -2,6 +2,8 @@
 
 #include "core/checked_json.h"
 
+#include <algorithm>
+
 namespace clementinegap {
 namespace {
 
@@ -36,7 +38,8 @@
     return result;
 }
 
-std::optional<lease_row> lease::acquire(const std::optional<lease_row>& current, time_point now)
+std::optional<lease_row> lease::acquire(const std::optional<lease_row>& current, time_point now,
+                                        std::uint64_t lowest_number)
 {
     const bool is_free = !current || current->holder.empty() || current->holder == holder_ ||
                          current->expires_unix_ms <= unix_ms(now);
@@ -44,7 +47,7 @@
         return std::nullopt;
     }
     const auto last_number = current ? current->number : 0;
-    requested_ = lease_row{holder_, last_number + 1, unix_ms(now + term_)};
+    requested_ = lease_row{holder_, std::max(last_number + 1, lowest_number), unix_ms(now + term_)};
     return requested_;
 }
 
--- a/leases/lease.h
+++ b/leases/lease.h
@@ -31,8 +31,10 @@
     lease(std::string holder, duration term) : holder_(std::move(holder)), term_(term) {}
 
     /// \returns the row to write over `current` in order to acquire the lease, if it is free, expired or its
-    /// own. \param current the row that was read; nothing when it is absent.
-    std::optional<lease_row> acquire(const std::optional<lease_row>& current, time_point now);
+    /// own. \param current the row that was read; nothing when it is absent. \param lowest_number the number
+    /// is at least this one.
+    std::optional<lease_row> acquire(const std::optional<lease_row>& current, time_point now,
+                                     std::uint64_t lowest_number = 0);
     /// \returns the row that renews the lease; nothing when it has expired, which requires `acquire` and a
     /// new number.
     std::optional<lease_row> renew(time_point now);
