--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -8,7 +8,8 @@
 paused, stopped and started by signals, in series that overlap; upstreams say that they leave, refuse and ask for a
 pause, or name a limit of requests a second, or crash on requests with one prompt part (deadly); the store comes back
 from an older copy (restore), also so that the operator writes again only after all entries were killed (forget), or never
-answers the calls that wait for changes (lose); upstreams of two software versions serve side by side, and callers take broken streams up at any entry (versions). Checked
+answers the calls that wait for changes (lose); upstreams of two software versions serve side by side, and callers take broken streams up at any entry (versions); the entry that sends the usage reports is killed, paused or cut off
+from the store or the platform's service, or all entries are killed (duties). Checked
 from outside: a booking runs at most once; a request that was
 answered 503 never ran; an answer is the one to its own request and whole; a stream has no gap and no repeat, and all of its
 events are of one version, over all attempts of its caller; an entry
@@ -53,7 +54,11 @@
 
 FAULTS = ("kill", "pause", "leave", "refuse", "limit", "stop", "weather")
 # Faults that are asked for by name; the seeds of CI keep their schedules.
-MORE_FAULTS = ("deadly", "restore", "forget", "lose", "versions")
+MORE_FAULTS = ("deadly", "restore", "forget", "lose", "versions", "duties")
+USAGE_WINDOW_S, USAGE_LATE_S, LEASE_MS = 2, 6, 1500
+WORKSPACES = ("team-a", "team-b")
+EXCUSED_S = 0.3  # After a resumption or the end of a cut.
+USAGE_OFF, USAGE_OFF_LEAST = 0.05, 3  # A share of the counts, and requests at the edges of a window.
 MOST_TAKE_UPS = 3
 SLOW_PACE_MS = "80"  # Streams long enough to be broken off.
 DEADLY_PART, DEADLY_SHARE = "dead", 0.05
@@ -130,8 +135,9 @@
 
 
 class Deployment:
-    def __init__(self, entries, upstreams, is_deadly=False, has_versions=False):
-        self.has_versions = has_versions
+    def __init__(self, entries, upstreams, is_deadly=False, has_versions=False, has_duties=False):
+        self.has_versions, self.has_duties = has_versions, has_duties
+        self.usage, self.broken_rules, self.begun = [], [], []
         self.crashes, self.restarting, self.configuration, self.stopped = [], threading.Lock(), None, False
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.processes, self.commands, self.runs = {}, {}, collections.Counter()
@@ -154,6 +160,13 @@
             self.upstreams[f"u{n}"] = self.proxies[f"u{n}"].port if n % 2 else port
         for name in self.upstreams:
             self.list_upstream(name)
+        duties = {}
+        if has_duties:
+            service_port = free_port()
+            self.start("service", [f"{BIN}/routed_stand_in", "--usage-service", str(service_port), "--lease-ms", str(LEASE_MS)])
+            self.wait_for(service_port)
+            duties = {"duties": ["usage"], "usage_window_s": USAGE_WINDOW_S, "usage_late_s": USAGE_LATE_S,
+                      "duty_lease_ms": LEASE_MS, "duty_calls_per_s": 5}
         self.version = 0
         self.configure()
         self.entries = {}
@@ -161,12 +174,15 @@
             self.proxies[f"e{n}"] = Proxy(self.store_port)
             self.entries[f"e{n}"] = free_port()
             self.metrics[f"e{n}"] = free_port()
+            if has_duties:
+                self.proxies[f"s{n}"] = Proxy(service_port)
+                duties["platform_service_address"] = f"127.0.0.1:{self.proxies[f's{n}'].port}"
             path = os.path.join(self.folder, f"e{n}.jsonc")
             with open(path, "w", encoding="utf-8") as file:
                 json.dump({"vm": f"e{n}", "zone": "z", "caller_address": f"127.0.0.1:{self.entries[f'e{n}']}",
                            "readiness_address": f"127.0.0.1:{self.metrics[f'e{n}']}", "peer_address": f"127.0.0.1:{free_port()}",
                            "store_address": f"127.0.0.1:{self.proxies[f'e{n}'].port}", "retry_slack": 1000,
-                           "stop_grace_s": 4}, file)
+                           "stop_grace_s": 4, **duties}, file)
             self.start(f"e{n}", [f"{BIN}/clementinegap_router", "--settings", path])
 
     def configure(self):
@@ -181,7 +197,8 @@
         service = {"name": "app", "health": "/health", "max_conns": 500,
                    "engine": {"slots": 64, "kv_capacity": 100000, "stride": 1}}
         self.configuration = {"version": self.version, "routes": routes, "services": [service],
-                              "limits": {"idle_timeout_ms": 15000}, "tenants": []}
+                              "limits": {"idle_timeout_ms": 15000},
+                              "tenants": [{"name": each, "keys": [each]} for each in WORKSPACES] if self.has_duties else []}
         self.write("op", "config", self.configuration)
 
     def write_again(self):
@@ -219,9 +236,12 @@
         self.commands[name] = command
         self.starts[name] += 1
         is_upstream = name.startswith("u")
+        is_read = is_upstream or name == "service"
         with open(os.path.join(self.folder, name + ".log"), "ab") as log:
-            process = subprocess.Popen(command, stdout=subprocess.PIPE if is_upstream else log, stderr=log)
+            process = subprocess.Popen(command, stdout=subprocess.PIPE if is_read else log, stderr=log)
         self.processes[name] = process
+        if name == "service":
+            threading.Thread(target=self.read_usage, args=(process,), daemon=True).start()
         if is_upstream:
             threading.Thread(target=self.read_runs, args=(process, name), daemon=True).start()
 
@@ -245,6 +265,19 @@
                     continue
                 self.told.append((now, name, start, words[0], None))
                 self.runs[words[0]] += words[0] != "leaving"
+                self.begun.append((time.time(), words[0]))
+
+    def read_usage(self, process):
+        """Notes what the platform's service prints: "usage HOLDER TOKEN WINDOW [WORKSPACE COUNT]..." for each report,
+        "broken HOLDER RULE WINDOW" for each rule that one breaks."""
+        for line in process.stdout:
+            words, now = line.decode().split(), time.monotonic()
+            with self.lock:
+                if words[0] == "broken":
+                    self.broken_rules.append((now, words[1], words[2], int(words[3])))
+                else:
+                    counts = dict(zip(words[4::2], map(int, words[5::2])))
+                    self.usage.append((now, words[1], int(words[3]), counts))
 
     @staticmethod
     def wait_for(port):
@@ -298,6 +331,8 @@
         self.sent += 1
         name = f"c{self.number}-{self.sent}"
         headers = {"Host": "h", "X-Request-Id": name, "X-Deadline-Ms": "3000"}
+        if self.deployment.has_duties:
+            headers["Authorization"] = "Bearer " + WORKSPACES[self.number % len(WORKSPACES)]
         if kind in ("ask", "guide"):
             headers.update({"X-Model": "m", "X-Token-Counts": "100,5",
                             "X-Prompt-Prefix": f"{self.random.randrange(4):x}:60,{self.sent:x}:40"})
@@ -424,6 +459,36 @@
         time.sleep(randomly.uniform(0.3, 2))
         deployment.proxies[name].mode = "fair"
 
+    def duties(name):
+        """Disturbs the entry that sent the last usage report, or all entries."""
+        with deployment.lock:
+            holder = deployment.usage[-1][1] if deployment.usage else name
+        begun = time.monotonic()
+        what = randomly.choice(("kill", "pause", "cut", "all"))
+        hit = list(deployment.entries) if what == "all" else [holder]
+        if what in ("kill", "all"):
+            killed = {each: deployment.processes[each] for each in hit}
+            for each in killed.values():
+                each.kill()
+            for each, process in killed.items():
+                deployment.restart(each, process)
+        elif what == "pause":
+            deployment.signal(holder, signal.SIGSTOP)
+            time.sleep(randomly.uniform(0.5, 3 * LEASE_MS / 1000))
+            deployment.signal(holder, signal.SIGCONT)
+        else:
+            cut = [deployment.proxies[each] for each in (holder, "s" + holder[1:])]
+            cut = cut if randomly.random() < 0.5 else [randomly.choice(cut)]
+            for each in cut:
+                each.mode = randomly.choice(("silent", "deaf", "reset"))
+            time.sleep(randomly.uniform(0.5, 3 * LEASE_MS / 1000))
+            for each in cut:
+                each.mode = "fair"
+        with deployment.lock:
+            for each in hit:
+                deployment.disturbed[each].append((begun, time.monotonic()))
+        time.sleep(randomly.uniform(0, 3 * USAGE_WINDOW_S))
+
     busy = set()
 
     def run(action, name):
@@ -431,15 +496,15 @@
         try:
             action(name)
         finally:
-            if action not in (leave, refuse, limit, forget, lose):
+            if action not in (leave, refuse, limit, forget, lose, duties):
                 deployment.disturbed[name].append((begun, time.monotonic()))
             busy.discard(name)
 
     while time.monotonic() < until:
-        everyone = list(deployment.entries) + list(deployment.upstreams) + ["store"] * any(each in kinds for each in ("restore", "forget", "lose"))
+        everyone = list(deployment.entries) + list(deployment.upstreams) + ["store"] * any(each in kinds for each in ("restore", "forget", "lose")) + ["service"] * ("duties" in kinds)
         name = randomly.choice(everyone)
         actions = [kill, pause] + [leave, refuse, refuse, limit, limit] * (name in deployment.upstreams) + [stop] * (name in deployment.entries) + [weather] * (name in deployment.proxies)
-        actions = [restore, forget, lose] if name == "store" else actions
+        actions = [restore, forget, lose] if name == "store" else [duties] if name == "service" else actions
         actions = [each for each in actions if each.__name__ in kinds]
         action = randomly.choice(actions) if actions else None
         if action and name not in busy:
@@ -574,6 +639,37 @@
                 yield f"{name} has configuration {found} {CONFIGURATION_BOUND_S} s after {version} was written"
 
 
+def broken_duties(deployment):
+    """Rules of the usage duty that the platform's service saw broken, but for calls of entries that were just disturbed."""
+    for now, holder, rule, window in deployment.broken_rules:
+        if not any(at <= now <= until + EXCUSED_S for at, until in deployment.disturbed[holder]):
+            yield f"{holder} broke the rule {rule} of the usage duty in window {window}"
+
+
+def wrong_usage(deployment, first, last):
+    """Windows between two times of day without a report in time, or with one that differs from what the upstreams ran.
+    Windows in which or shortly before which an entry was disturbed may lack counts."""
+    since_epoch = time.time() - time.monotonic()
+    disturbed = [(at + since_epoch, until + since_epoch) for name in deployment.entries for at, until in deployment.disturbed[name]]
+    workspace_of = lambda request: WORKSPACES[int(request[1:].split("-")[0]) % len(WORKSPACES)]
+    for window in range(int(first // USAGE_WINDOW_S) + 1, int(last // USAGE_WINDOW_S)):
+        begin, end = window * USAGE_WINDOW_S, (window + 1) * USAGE_WINDOW_S
+        if any(at <= end + USAGE_LATE_S and until + LEASE_MS / 1000 + 1 >= begin for at, until in disturbed):
+            continue
+        reports = [each for each in deployment.usage if each[2] == window]
+        if not any(each[0] + since_epoch <= end + USAGE_LATE_S for each in reports):
+            yield f"no usage report of window {window} in time ({len(reports)} later)"
+            continue
+        # Several runs of one request are one request; requests at the edges may be of either window.
+        ran = collections.Counter(workspace_of(request) for request in
+                                  {request for at, request in deployment.begun if begin <= at < end})
+        edges = sum(1 for at, _ in deployment.begun if min(abs(at - begin), abs(at - end)) < 0.15)
+        for workspace in WORKSPACES:
+            told = reports[0][3].get(workspace, 0)
+            if abs(told - ran[workspace]) > USAGE_OFF * ran[workspace] + USAGE_OFF_LEAST + edges:
+                yield f"usage of {workspace} in window {window}: {told} were reported, {ran[workspace]} ran"
+
+
 def odd_log_lines(deployment):
     """Lines of the entries' logs that are not of the form of docs/entry-log.json; a kill may cut the last one."""
     with open(os.path.join(os.path.dirname(__file__), "..", "docs", "entry-log.json"), encoding="utf-8") as file:
@@ -614,11 +710,13 @@
     randomly = random.Random(options.seed)
     is_deadly = "deadly" in options.faults.split(",")
     has_versions = "versions" in options.faults.split(",")
-    deployment = Deployment(options.entries, options.upstreams, is_deadly, has_versions)
+    has_duties = "duties" in options.faults.split(",")
+    deployment = Deployment(options.entries, options.upstreams, is_deadly, has_versions, has_duties)
     for port in deployment.entries.values():
         deployment.wait_for(port)
     results = []
     callers = [Caller(n, deployment, options.seed * 1000 + n, results, is_deadly) for n in range(options.callers)]
+    begun = time.time()
     try:
         for each in callers:
             each.start()
@@ -632,6 +730,11 @@
             latest = [each for each in results[calm_from:] if each[0] not in ("deadly", "rejoined")][-40:]
             recovered = len(latest) == 40 and all(each[2] == 200 for each in latest)
         versions = {name: deployment.version_of(name) for name in deployment.entries}
+        ended = time.time()
+        if has_duties:  # Windows without faults, and the time until the last one's report is due.
+            time.sleep(LEASE_MS / 1000 + 4 * USAGE_WINDOW_S)
+            ended = time.time()
+            time.sleep(USAGE_LATE_S)
         for each in callers:
             each.stopping = True
         for each in callers:
@@ -641,11 +744,16 @@
         deployment.stop()
     problems = [*broken_promises(results, deployment.runs), *ignored_notices(deployment), *exceeded_limits(deployment),
                 *late_crashes(deployment), *lost_configurations(deployment), *late_configurations(deployment),
-                *odd_log_lines(deployment)]
+                *odd_log_lines(deployment), *broken_duties(deployment)]
+    if has_duties:
+        problems += wrong_usage(deployment, begun + 2 * LEASE_MS / 1000, ended)
     problems += [f"{name} has configuration {found} at the end, where {deployment.version} is in force"
                  for name, found in versions.items() if found != deployment.version]
     if not recovered:
         problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
+    if has_duties:
+        windows = len({each[2] for each in deployment.usage})
+        print(f"{len(deployment.usage)} usage reports of {windows} windows, {len(deployment.broken_rules)} broken rules, excused ones included")
     ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
     print(f"seed {options.seed}: {len(results)} requests, {len(problems)} promises broken;",
           ", ".join(f"{end}: {count}" for end, count in sorted(ends.items())))
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -181,14 +181,7 @@
         duty_->run(now);
     }
     if (now >= next_report_) {
-        auto report = router_.report(now);
-        report.next_in = peers_.interval();
-        report.relay = tables_.offer(now);
-        if (duty_) {
-            report.usage = duty_->statement(now);
-        }
-        peers_.send(report);
-        next_report_ = now + peers_.interval();
+        send_report(now);
     }
     if (now >= next_sweep_) {
         gateway_.sweep(now);
@@ -203,6 +196,18 @@
     schedule();
 }
 
+void entry_process::send_report(time_point now)
+{
+    auto report = router_.report(now);
+    report.next_in = peers_.interval();
+    report.relay = tables_.offer(now);
+    if (duty_) {
+        report.usage = duty_->statement(now);
+    }
+    peers_.send(report);
+    next_report_ = now + peers_.interval();
+}
+
 void entry_process::confirm_directory()
 {
     const auto at = tables_.confirmed_at(store_tables::table::directory);
@@ -298,6 +303,9 @@
     }
     const bool no_open_requests = gateway_.close_idle();
     if (no_open_requests || now >= stop_started_at_ + settings_.stop_grace - stop_margin / 2) {
+        if (duty_) {
+            send_report(now); // The counts since the last report would be lost with this process.
+        }
         loop_.stop();
     }
 }
--- a/router/entry_process.h
+++ b/router/entry_process.h
@@ -57,6 +57,7 @@
     void reload_if_changed(time_point now);
     /// Tells the router until when the directory has shown all changes.
     void confirm_directory();
+    void send_report(time_point now);
     void wake();
     void schedule();
 
--- a/stand_ins/program/routed_stand_in.cpp
+++ b/stand_ins/program/routed_stand_in.cpp
@@ -156,8 +156,9 @@
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext("routed_stand_in", argc, const_cast<const char**>(argv), options, 0),
         &poptFreeContext);
+    const int result = poptGetNextOpt(context.get());
     const int roles = (store != 0 ? 1 : 0) + (upstream != 0 ? 1 : 0) + (service != 0 ? 1 : 0);
-    if (poptGetNextOpt(context.get()) < -1 || roles != 1) {
+    if (result < -1 || roles != 1) {
         std::fprintf(stderr, "usage: routed_stand_in --store PORT | --upstream PORT [--pace-ms N] | "
                              "--usage-service PORT [--lease-ms N]\n");
         return exit_usage;
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -9,6 +9,7 @@
 
 #include <fcntl.h>
 #include <random>
+#include <regex>
 #include <set>
 #include <unistd.h>
 
@@ -57,6 +58,9 @@
     report.relay = {7, 20, true, 40, 2, milliseconds(300), std::nullopt};
     soft_state_item item;
     item.kind = "poison";
+    report.usage = usage_statement{1767225600123,
+                                   {{353445120, {{"a", 4}, {"b", 1}}}, {353445121, {{"b", 70000}}}},
+                                   {"entry-2", 1767225600000, 77, 353445119}};
     item.key = "k";
     item.value = "2";
     item.lifetime = seconds(60);
@@ -71,6 +75,7 @@
     BOOST_TEST((back.value().report.next_in == seconds(2)));
     BOOST_TEST((back.value().report.prompt_parts == report.prompt_parts));
     BOOST_TEST((back.value().report.relay == report.relay));
+    BOOST_TEST((back.value().report.usage == report.usage));
     BOOST_TEST(back.value().items.front().key == "k");
     std::minstd_rand random(9);
     for (int round = 0; round < 5000; ++round) {
@@ -171,6 +176,61 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(run_the_duties_only_where_all_settings_of_duties_are_there)
+{
+    const std::vector<std::pair<std::string, std::string>> duty_lines = {
+        {"platform_service_address", R"("10.0.0.3:84")"},
+        {"duties", R"(["usage","another"])"},
+        {"usage_window_s", "5"},
+        {"usage_late_s", "10"},
+        {"duty_lease_ms", "3000"},
+        {"duty_calls_per_s", "2"}};
+    const auto text_without = [&](const std::string& left_out) {
+        std::string text = R"({"vm": "front-1", "zone": "z", "caller_address": "10.0.0.1:80",
+            "readiness_address": "10.0.0.1:81", "peer_address": "10.0.0.1:82", "store_address": "10.0.0.2:83")";
+        for (const auto& [name, value] : duty_lines) {
+            text += name == left_out ? "" : ", \"" + name + "\": " + value;
+        }
+        return text + "}";
+    };
+    const auto whole = entry_settings_from_text(text_without(""));
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_REQUIRE(whole.value().duties.has_value());
+    BOOST_TEST(whole.value().duties->names.size() == 2U);
+    BOOST_TEST((whole.value().duties->usage_window == seconds(5)));
+    BOOST_TEST((whole.value().duties->lease_term == seconds(3)));
+    for (const auto& [name, value] : duty_lines) {
+        const auto partial = entry_settings_from_text(text_without(name));
+        BOOST_REQUIRE(partial.has_value());
+        BOOST_TEST(!partial.value().duties.has_value(), name);
+    }
+}
+
+// A comma that is missing or left over in the template would keep every entry of a deployment from starting.
+BOOST_AUTO_TEST_CASE(are_rendered_from_the_template_with_and_without_a_platform_service)
+{
+    const auto original = settings_file_text(CG_SOURCE_DIR "/deploy/entry.settings.jsonc");
+    BOOST_REQUIRE(original.has_value());
+    const std::regex section(R"(\{\{#cloud\}\}([^]*)\{\{/cloud\}\})");
+    for (const bool has_service : {true, false}) {
+        auto text = std::regex_replace(original.value(), section, has_service ? "$1" : "");
+        text = std::regex_replace(text, std::regex(R"(\{\{duties\|json\}\})"), R"(["usage"])");
+        text =
+            std::regex_replace(text, std::regex(R"("\{\{ip\}\}:\{\{port_range.0\}\}")"), R"("10.0.0.1:1")");
+        text = std::regex_replace(text, std::regex(R"((_address": )"\{
+                                      {
+                                          [a - z_.] +
+                                      }
+                                  } ")"),
+                                  R"($1"10.0.0.1:1")");
+        text = std::regex_replace(text, std::regex(R"(: \{\{[a-z_.]*ratio\}\})"), ": 0.2");
+        text = std::regex_replace(text, std::regex(R"(\{\{[a-z_.]+\}\})"), "1000");
+        const auto settings = entry_settings_from_text(text);
+        BOOST_REQUIRE_MESSAGE(settings.has_value(), text << (settings ? "" : settings.error().message));
+        BOOST_TEST(settings.value().duties.has_value() == has_service);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_bounded_output)
--- a/tests/router/test_upstream_notices.cpp
+++ b/tests/router/test_upstream_notices.cpp
@@ -191,6 +191,7 @@
     BOOST_TEST((decoded.value().report.loads == report.loads));
     BOOST_TEST((decoded.value().report.leave_notices == report.leave_notices));
     BOOST_TEST((decoded.value().report.limits == report.limits));
+    BOOST_TEST(!decoded.value().report.usage.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
