Duty runner: the store's era reaches the decisions

Cause: the decisions tell a store that came back from an older copy by its era, which the results of writes now carry.

Ruled out: passing the header apart from the response; the head of the response has it.

--- a/router/duty_runner.cpp
+++ b/router/duty_runner.cpp
@@ -30,7 +30,7 @@
 
 std::string reason_of(const timed_call::result& result)
 {
-    return result.status == 0 ? result.error : "status " + std::to_string(result.status);
+    return result.head.status == 0 ? result.error : "status " + std::to_string(result.head.status);
 }
 
 } // namespace
@@ -153,7 +153,7 @@
 {
     const auto step = writes_.front().step;
     writes_.pop_front();
-    auto event = decode_duty_row_result(step, result.status, result.body);
+    auto event = decode_duty_row_result(step, result.head, result.body);
     if (std::holds_alternative<row_unknown>(event)) {
         log_("duty.write_failed", reason_of(result));
     }
@@ -164,7 +164,7 @@
 {
     const auto step = reports_.front().step;
     reports_.pop_front();
-    if (result.status == status_ok) {
+    if (result.head.status == status_ok) {
         post(usage_accepted{step});
         return;
     }
--- a/router/timed_call.cpp
+++ b/router/timed_call.cpp
@@ -29,15 +29,15 @@
 void timed_call::start(const endpoint& server, std::string request, time_point deadline, time_point now)
 {
     deadline_ = deadline;
-    status_ = 0;
+    head_ = {};
     body_.clear();
     if (deadline <= now) {
-        end({0, "", "no time is left for the call"});
+        end({{}, "", "no time is left for the call"});
         return;
     }
     connection_ = std::make_shared<http_client_connection>(loop_, [] {});
     if (!connection_->connect(server.ip, server.port, limits_within(deadline - now))) {
-        end({0, "", "connect failed"});
+        end({{}, "", "connect failed"});
         return;
     }
     connection_->reset_on_close();
@@ -48,13 +48,13 @@
 {
     retired_.clear();
     if (now >= deadline_) {
-        end({0, "", "response timed out"});
+        end({{}, "", "response timed out"});
     }
 }
 
 http_client_connection::head_verdict timed_call::on_response_head(const http_head& head)
 {
-    status_ = head.status;
+    head_ = head;
     return http_client_connection::head_verdict::take;
 }
 
@@ -62,18 +62,19 @@
 {
     body_.append(bytes);
     if (body_.size() > max_response_bytes) {
-        end({0, "", "response exceeds 1 MiB"});
+        end({{}, "", "response exceeds 1 MiB"});
     }
 }
 
 void timed_call::on_response_end(bool)
 {
-    end({status_, std::move(body_), ""});
+    end({std::move(head_), std::move(body_), ""});
 }
 
 void timed_call::on_exchange_failed(const exchange_failure& failure)
 {
-    end({0, "",
+    end({{},
+         "",
          failure.not_http    ? "malformed HTTP response"
          : failure.connected ? "connection lost"
                              : "connect failed"});
--- a/router/timed_call.h
+++ b/router/timed_call.h
@@ -15,7 +15,7 @@
 class timed_call final : private http_client_connection::exchange {
 public:
     struct result {
-        int status{0}; ///< 0: no complete response in time.
+        http_head head; ///< Its status is 0 without a complete response in time.
         std::string body;
         std::string error; ///< Why there is none, for the log.
     };
@@ -49,7 +49,7 @@
     /// Connections that may be in a callback; destroyed by `run`.
     std::vector<std::shared_ptr<http_client_connection>> retired_;
     time_point deadline_{never};
-    int status_{0};
+    http_head head_;
     std::string body_;
 };
 
--- a/tests/platform/test_duty_messages.cpp
+++ b/tests/platform/test_duty_messages.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+duty_event decoded(int status, const std::string& body)
+{
+    http_head head;
+    head.status = status;
+    head.headers = {{"Store-Era", "5"}};
+    return decode_duty_row_result(3, head, body);
+}
+
 json body_of(const std::string& request)
 {
     return json::parse(request.substr(request.find("\r\n\r\n") + 4));
@@ -31,25 +39,26 @@
 
 BOOST_AUTO_TEST_CASE(tell_a_write_from_a_conflict_and_both_from_an_unknown_result)
 {
-    const auto written = decode_duty_row_result(3, 200, R"({"ver":43,"now_ms":1})");
+    const auto written = decoded(200, R"({"ver":43,"now_ms":1})");
     BOOST_REQUIRE(std::holds_alternative<row_written>(written));
     BOOST_TEST(std::get<row_written>(written).version == 43U);
+    BOOST_TEST(std::get<row_written>(written).era == 5U);
     const auto conflict =
-        decode_duty_row_result(3, 412,
-                               R"({"rows":[{"table":"duties","part":"","key":"usage","ver":50,"value":")" +
-                                   base64_encode("new") + R"("}]})");
+        decoded(412, R"({"rows":[{"table":"duties","part":"","key":"usage","ver":50,"value":")" +
+                         base64_encode("new") + R"("}]})");
     BOOST_REQUIRE(std::holds_alternative<row_conflict>(conflict));
     BOOST_TEST(std::get<row_conflict>(conflict).step == 3U);
     BOOST_TEST(std::get<row_conflict>(conflict).version == 50U);
     BOOST_TEST(std::get<row_conflict>(conflict).value == "new");
-    const auto absent = decode_duty_row_result(3, 412, R"({"rows":[]})");
+    BOOST_TEST(std::get<row_conflict>(conflict).era == 5U);
+    const auto absent = decoded(412, R"({"rows":[]})");
     BOOST_REQUIRE(std::holds_alternative<row_conflict>(absent));
     BOOST_TEST(std::get<row_conflict>(absent).version == 0U);
     // A result that is taken for certain without being so would let two daemons hold the duty.
     for (const auto& [status, body] :
          {std::pair(0, ""), std::pair(503, "{}"), std::pair(429, "{}"), std::pair(500, R"({"ver":1})"),
           std::pair(200, "{}"), std::pair(200, "torn"), std::pair(412, R"({"rows":[{"key":)")}) {
-        const auto result = decode_duty_row_result(3, status, body);
+        const auto result = decoded(status, body);
         BOOST_TEST(std::holds_alternative<row_unknown>(result), status << " " << body);
     }
 }
--- a/tests/router/test_duty_runner.cpp
+++ b/tests/router/test_duty_runner.cpp
@@ -123,7 +123,7 @@
                                     std::uint64_t count) {
         rule.clear();
         int status = 0;
-        timed_call call(loop, [&](const timed_call::result& result) { status = result.status; });
+        timed_call call(loop, [&](const timed_call::result& result) { status = result.head.status; });
         const auto now = event_loop::now();
         const send_usage report{1, holder, token, {window, {{"team-a", count}}}, now + step_timeout};
         call.start({"127.0.0.1", service.port()}, encode_usage_call(report, "h"), report.deadline, now);
