Settings of the duties are rendered once; the row is built without a temporary

Cause: the platform renders a section of a table once for each entry of the table, so the settings of a deployment with duties were no JSON and no entry started; the release build failed on a false warning about a temporary row. Change: the section tests single values, which the test of the template now demands; the row is a named variable.

--- a/duties/usage_duty_core.cpp
+++ b/duties/usage_duty_core.cpp
@@ -315,8 +315,10 @@
 void usage_duty_core::write(time_point now)
 {
     writing_ = pending_step{++last_step_, now + longest_write, 0};
-    auto attempt = tenure_.try_write(last_step_, duty_row{{}, queue_.sent(), reports_to_record(now)},
-                                     clock_.unix_ms(now), now);
+    duty_row row;
+    row.sent = queue_.sent();
+    row.reports = reports_to_record(now);
+    auto attempt = tenure_.try_write(last_step_, std::move(row), clock_.unix_ms(now), now);
     actions_.emplace_back(write_duty_row{last_step_, attempt.expected_version, to_row(attempt.row)});
 }
 
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -211,10 +211,14 @@
 {
     const auto original = settings_file_text(CG_SOURCE_DIR "/deploy/entry.settings.jsonc");
     BOOST_REQUIRE(original.has_value());
-    const std::regex section(R"(\{\{#cloud\}\}([^]*)\{\{/cloud\}\})");
+    // The platform renders a section of a table once for each entry of the table, so a section has to name a
+    // single value.
+    BOOST_TEST(!std::regex_search(original.value(), std::regex(R"(\{\{#[a-z_]+\}\})")));
+    const std::regex section(
+        R"(\{\{#cloud\.address\}\}\{\{#bounds\.report_window_s\}\}([^]*)\{\{/bounds\.report_window_s\}\}\{\{/cloud\.address\}\})");
     for (const bool has_service : {true, false}) {
         auto text = std::regex_replace(original.value(), section, has_service ? "$1" : "");
-        text = std::regex_replace(text, std::regex(R"(\{\{duties\|json\}\})"), R"(["usage"])");
+        text = std::regex_replace(text, std::regex(R"(\{\{cloud\.duties\|json\}\})"), R"(["usage"])");
         text =
             std::regex_replace(text, std::regex(R"("\{\{ip\}\}:\{\{port_range.0\}\}")"), R"("10.0.0.1:1")");
         text =
