Upstream processes that refuse connections are left out by all daemons at once

Cause: a crashed engine that the directory still lists looks idle, so every daemon sends to it until its own breaker has opened, and a request fails after three such engines. Ruled out: removing it from the directory; a refused connection is no certain proof. Change: availability/ended_processes keeps refused connections by incarnation for a second, other daemons' for two; reports carry them; the directory leaves these processes out.

--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -8,7 +8,7 @@
 using nlohmann::json;
 
 /// To be incremented with every change of the layout; daemons reject reports of another layout version.
-constexpr int layout_version = 12;
+constexpr int layout_version = 13;
 
 json encode_prompt_parts(const prompt_part_statements& statements)
 {
@@ -126,6 +126,10 @@
     for (const auto& each : report.limits) {
         limits.push_back({each.upstream, each.revision, each.per_second ? json(*each.per_second) : json()});
     }
+    json ended = json::array();
+    for (const auto& each : report.ended_processes) {
+        ended.push_back({each.upstream, each.incarnation, to_milliseconds(each.age)});
+    }
     const json document = {layout_version,
                            report.daemon,
                            report.incarnation,
@@ -140,7 +144,11 @@
                            encode_relay_status(report.relay),
                            leave_notices,
                            limits,
-                           encode_prompt_parts(report.prompt_parts)};
+                           encode_prompt_parts(report.prompt_parts),
+                           json(),
+                           json::array(),
+                           json::array(),
+                           std::move(ended)};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -192,6 +200,10 @@
                                      rate.is_null() ? std::nullopt : std::optional(rate.get<double>())});
         }
         report.prompt_parts = decode_prompt_parts(document.at(14));
+        for (const auto& each : document.at(18)) {
+            report.ended_processes.push_back({each.at(0).get<std::string>(), each.at(1).get<std::int64_t>(),
+                                              milliseconds(each.at(2).get<std::int64_t>())});
+        }
         for (const auto& each : document.at(7)) {
             soft_state_item item;
             item.origin = report.daemon;
--- a/routing/load_tracker.h
+++ b/routing/load_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "availability/ended_processes.h"
 #include "core/time.h"
 #include "routing/engine_speed.h"
 #include "routing/leaving_upstreams.h"
@@ -52,11 +53,12 @@
     std::vector<stream_demand> demands;
     std::vector<part_placement> placements; ///< Since the previous report.
     duration next_in{0}; ///< Time until the daemon's next report; larger fleets report less often.
-    std::vector<service_speed> speeds{};       ///< Included in some of the reports only.
-    std::vector<leave_notice> leave_notices{}; ///< Listed upstreams that announced that they are leaving.
-    std::vector<limit_statement> limits{};     ///< Rate limits that upstreams named.
-    prompt_part_statements prompt_parts{};     ///< Parts that crash upstreams.
-    relay_status relay{};                      ///< The platform's table rows that the daemon can serve.
+    std::vector<service_speed> speeds{};          ///< Included in some of the reports only.
+    std::vector<leave_notice> leave_notices{};    ///< Listed upstreams that announced that they are leaving.
+    std::vector<limit_statement> limits{};        ///< Rate limits that upstreams named.
+    prompt_part_statements prompt_parts{};        ///< Parts that crash upstreams.
+    std::vector<ended_process> ended_processes{}; ///< Upstream processes that refused a connection lately.
+    relay_status relay{};                         ///< The platform's table rows that the daemon can serve.
 };
 
 /// Tracks the load of every upstream as the sum of this daemon's own load and the latest reports of the other
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -259,6 +259,9 @@
         if (event.refused) {
             versions_.process_ended(upstream->id, upstream->incarnation, now_);
             crashed(*upstream);
+            if (directory_.connection_refused(*upstream, now_)) {
+                partitions_outdated_ = true;
+            }
         }
     } else if (event.fault == send_fault::recalled) {
         --request.sends;
@@ -460,6 +463,9 @@
     for (const auto& each : event.report.leave_notices) {
         apply_leave_notice(each, "heard from " + event.report.daemon);
     }
+    for (const auto& each : event.report.ended_processes) {
+        partitions_outdated_ = directory_.add_ended_process(each, now_) || partitions_outdated_;
+    }
     members_.on_report(event.report.daemon, event.report.next_in, now_);
     for (const auto& each : event.report.limits) {
         if (limits_.merge(each, directory_.find(each.upstream) != nullptr, now_)) {
@@ -534,6 +540,7 @@
     result.configuration_version = table_ ? table_->version() : 0;
     result.loads = load_.own_loads(backoffs_.in_backoff(now));
     result.leave_notices = directory_.listed_leave_notices();
+    result.ended_processes = directory_.ended_processes_seen(now);
     result.limits = limits_.next_statements(now);
     result.prompt_parts = prompt_parts_.next_statements(now);
     result.demands = placement_.demands(now);
--- a/routing/upstream_directory.cpp
+++ b/routing/upstream_directory.cpp
@@ -10,6 +10,7 @@
     entry.drop_at = never;
     removed_.erase(record.id);
     leaving_.listed(record.id, record.incarnation);
+    ended_.listed(record.id, record.incarnation);
     if (entry.record && *entry.record == record) {
         return false;
     }
@@ -74,6 +75,7 @@
     std::erase_if(upstreams_, [&](const auto& each) { return each.second.drop_at <= now; });
     std::erase_if(removed_, [&](const auto& each) { return now - each.second.at > removal_memory; });
     leaving_.expire(now);
+    ended_.expire(now);
 }
 
 std::vector<upstream_ptr> upstream_directory::usable(std::string_view service, time_point now) const
@@ -81,7 +83,8 @@
     std::vector<upstream_ptr> result;
     for (const auto& [id, entry] : upstreams_) {
         const bool leaves = entry.record->leaving || is_leaving(*entry.record);
-        if (!leaves && entry.drop_at > now && entry.record->service == service) {
+        const bool has_ended = ended_.contains(id, entry.record->incarnation, now);
+        if (!leaves && !has_ended && entry.drop_at > now && entry.record->service == service) {
             result.push_back(entry.record);
         }
     }
--- a/routing/upstream_directory.h
+++ b/routing/upstream_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "availability/ended_processes.h"
 #include "routing/leaving_upstreams.h"
 #include "routing/upstream_record.h"
 
@@ -46,10 +47,25 @@
     }
     /// For the reports to other daemons.
     std::vector<leave_notice> listed_leave_notices() const { return leaving_.of_listed(); }
+    /// A connection to the upstream was refused.
+    /// \returns whether its process was not known to have ended.
+    bool connection_refused(const upstream_record& upstream, time_point now)
+    {
+        return ended_.refused(upstream.id, upstream.incarnation, now);
+    }
+    /// Another daemon states that a process has ended.
+    /// \returns whether that was not known.
+    bool add_ended_process(const ended_process& statement, time_point now)
+    {
+        return ended_.heard(statement, now);
+    }
+    /// For the reports to other daemons.
+    std::vector<ended_process> ended_processes_seen(time_point now) const { return ended_.statements(now); }
     /// Removes entries whose grace period has ended.
     void expire(time_point now);
 
-    /// Upstreams of `service` that are not leaving according to their entry or a notice, ordered by id.
+    /// Upstreams of `service` that are not leaving according to their entry or a notice and whose process has
+    /// not ended, ordered by id.
     std::vector<upstream_ptr> usable(std::string_view service, time_point now) const;
     /// All upstreams, leaving ones among them.
     std::vector<upstream_ptr> all() const;
@@ -75,6 +91,7 @@
     std::map<std::string, listing, std::less<>> upstreams_;
     std::map<std::string, removal, std::less<>> removed_;
     leaving_upstreams leaving_;
+    ended_processes ended_;
     bool lost_{false};
     time_point restore_grace_ends_{};
 };
