Daemons that start later hear of ended processes too

Cause: evidence of a refused connection was stated for a second only, and a further refusal did not renew the doubt about the version of the next process there. Change: it is stated for five seconds, counts towards the doubt at the others, and each refusal renews the doubt.

--- a/availability/ended_processes.cpp
+++ b/availability/ended_processes.cpp
@@ -56,7 +56,7 @@
 {
     std::vector<ended_process> result;
     for (const auto& [upstream, each] : known_) {
-        const bool is_own = each.refused_at != time_point{} && now - each.refused_at < own_lifetime;
+        const bool is_own = each.refused_at != time_point{} && now - each.refused_at < statement_lifetime;
         if (is_own && result.size() < max_statements) {
             result.push_back({upstream, each.incarnation, now - each.refused_at});
         }
@@ -66,7 +66,9 @@
 
 void ended_processes::expire(time_point now)
 {
-    std::erase_if(known_, [&](const auto& each) { return each.second.ends_at <= now; });
+    std::erase_if(known_, [&](const auto& each) {
+        return each.second.ends_at <= now && now - each.second.refused_at >= statement_lifetime;
+    });
 }
 
 } // namespace clementinegap
--- a/availability/ended_processes.h
+++ b/availability/ended_processes.h
@@ -45,6 +45,9 @@
     /// A crashed process takes a second or more to start again.
     static constexpr duration own_lifetime = seconds(1);
     static constexpr duration heard_lifetime = seconds(2);
+    /// Daemons that start meanwhile have to know that the listed process is not the one that runs there,
+    /// which the directory may not show for a few seconds.
+    static constexpr duration statement_lifetime = seconds(5);
     /// Limits the memory that other daemons' reports can use.
     static constexpr std::size_t max_entries = 4096;
     static constexpr std::size_t max_statements = 64;
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -465,6 +465,7 @@
     }
     for (const auto& each : event.report.ended_processes) {
         partitions_outdated_ = directory_.add_ended_process(each, now_) || partitions_outdated_;
+        versions_.process_ended(each.upstream, each.incarnation, now_ - each.age);
     }
     members_.on_report(event.report.daemon, event.report.next_in, now_);
     for (const auto& each : event.report.limits) {
--- a/routing/software_versions.cpp
+++ b/routing/software_versions.cpp
@@ -34,6 +34,8 @@
     auto& known = ended_.try_emplace(std::string(upstream), ended_process{incarnation, now}).first->second;
     if (known.incarnation < incarnation) {
         known = {incarnation, now};
+    } else if (known.incarnation == incarnation) {
+        known.at = std::max(known.at, now); // It is still down, so the next process can only start later.
     }
 }
 
