--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -143,6 +143,25 @@
     return usage;
 }
 
+json encode_ended_processes(std::span<const ended_process> processes)
+{
+    json rows = json::array();
+    for (const auto& each : processes) {
+        rows.push_back({each.upstream, each.incarnation, to_milliseconds(each.age)});
+    }
+    return rows;
+}
+
+std::vector<ended_process> decode_ended_processes(const json& rows)
+{
+    std::vector<ended_process> processes;
+    for (const auto& each : rows) {
+        processes.push_back({each.at(0).get<std::string>(), each.at(1).get<std::int64_t>(),
+                             milliseconds(each.at(2).get<std::int64_t>())});
+    }
+    return processes;
+}
+
 } // namespace
 
 std::string encode_report(const load_report& report, std::span<const soft_state_item> items)
@@ -193,8 +212,9 @@
                            limits,
                            encode_prompt_parts(report.prompt_parts),
                            encode_usage(report.usage),
-                           json::array(),  // Speeds of engines.
-                           json::array()}; // Failures of plain upstreams.
+                           json::array(), // Speeds of engines.
+                           json::array(), // Failures of plain upstreams.
+                           encode_ended_processes(report.ended_processes)};
     std::string bytes;
     json::to_msgpack(document, bytes);
     return bytes;
@@ -247,6 +267,7 @@
         }
         report.prompt_parts = decode_prompt_parts(document.at(14));
         report.usage = decode_usage(document.at(15));
+        report.ended_processes = decode_ended_processes(document.at(18));
         for (const auto& each : document.at(7)) {
             soft_state_item item;
             item.origin = report.daemon;
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -259,6 +259,9 @@
         if (event.refused) {
             versions_.process_ended(upstream->id, upstream->incarnation, now_);
             crashed(*upstream);
+            if (directory_.connection_refused(*upstream, now_)) {
+                partitions_outdated_ = true;
+            }
         }
     } else if (event.fault == send_fault::recalled) {
         --request.sends;
