Usage counts never cost the daemons their reports; answered calls close in order

Cause: a report with the counts of thousands of workspaces exceeds a datagram and would be lost with the loads in it; timed_call reset its connection also after a complete response, which a server may take for a failure. The soak addressed an entry by a wrong name when a fault came before the first usage report.

Ruled out: splitting reports, since deployments have tens of workspaces.

--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -137,7 +137,7 @@
 class Deployment:
     def __init__(self, entries, upstreams, is_deadly=False, has_versions=False, has_duties=False):
         self.has_versions, self.has_duties = has_versions, has_duties
-        self.usage, self.broken_rules, self.begun = [], [], []
+        self.usage, self.broken_rules, self.begun, self.judged_windows = [], [], [], 0
         self.crashes, self.restarting, self.configuration, self.stopped = [], threading.Lock(), None, False
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.processes, self.commands, self.runs = {}, {}, collections.Counter()
@@ -459,10 +459,10 @@
         time.sleep(randomly.uniform(0.3, 2))
         deployment.proxies[name].mode = "fair"
 
-    def duties(name):
+    def duties(_):
         """Disturbs the entry that sent the last usage report, or all entries."""
         with deployment.lock:
-            holder = deployment.usage[-1][1] if deployment.usage else name
+            holder = deployment.usage[-1][1] if deployment.usage else randomly.choice(list(deployment.entries))
         begun = time.monotonic()
         what = randomly.choice(("kill", "pause", "cut", "all"))
         hit = list(deployment.entries) if what == "all" else [holder]
@@ -656,6 +656,7 @@
         begin, end = window * USAGE_WINDOW_S, (window + 1) * USAGE_WINDOW_S
         if any(at <= end + USAGE_LATE_S and until + LEASE_MS / 1000 + 1 >= begin for at, until in disturbed):
             continue
+        deployment.judged_windows += 1
         reports = [each for each in deployment.usage if each[2] == window]
         if not any(each[0] + since_epoch <= end + USAGE_LATE_S for each in reports):
             yield f"no usage report of window {window} in time ({len(reports)} later)"
@@ -753,7 +754,7 @@
         problems.append(f"not all was served within {RECOVERY_S} s after the last fault")
     if has_duties:
         windows = len({each[2] for each in deployment.usage})
-        print(f"{len(deployment.usage)} usage reports of {windows} windows, {len(deployment.broken_rules)} broken rules, excused ones included")
+        print(f"{len(deployment.usage)} usage reports of {windows} windows, {deployment.judged_windows} of them compared, {len(deployment.broken_rules)} broken rules, excused ones included")
     ends = collections.Counter(f"{kind} {status}" for kind, _, status, _, _ in results)
     print(f"seed {options.seed}: {len(results)} requests, {len(problems)} promises broken;",
           ", ".join(f"{end}: {count}" for end, count in sorted(ends.items())))
--- a/net/http_client_connection.h
+++ b/net/http_client_connection.h
@@ -53,6 +53,8 @@
     /// From now on the server gets a reset when the connection is closed or this process ends, so that the
     /// system delivers nothing of a request after that.
     void reset_on_close() { tcp_.reset_unless_ended(); }
+    /// Undoes `reset_on_close`, after a complete response.
+    void close_in_order() { tcp_.close_in_order(); }
     /// Closes the connection and ends the exchange without notifying it.
     void abandon();
     /// Fails the exchange if the connection is not established yet.
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -211,6 +211,13 @@
     set_reset_by_system(block_->handle, true);
 }
 
+void tcp_connection::close_in_order()
+{
+    if (!closed_reported_) {
+        set_reset_by_system(block_->handle, false);
+    }
+}
+
 void tcp_connection::end_writing()
 {
     if (closed_reported_) {
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -68,6 +68,8 @@
     /// `end_writing` has passed all data to the operating system. Otherwise the system would end the
     /// connection in order.
     void reset_unless_ended();
+    /// Undoes `reset_unless_ended`.
+    void close_in_order();
 
 private:
     struct handle_block;
--- a/router/peer_link.cpp
+++ b/router/peer_link.cpp
@@ -83,15 +83,33 @@
     return std::max<duration>(min_interval, rate_limited);
 }
 
-void peer_link::send(const load_report& report)
+std::string peer_link::encode(const load_report& report)
 {
     std::vector<soft_state_item> items;
-    for (auto& each : pending_items_) {
+    for (const auto& each : pending_items_) {
         items.push_back(each.item);
+    }
+    auto bytes = encode_report(report, items);
+    const bool is_too_long = bytes.size() >= max_datagram_bytes && report.usage;
+    if (is_too_long && !leaves_usage_out_) {
+        on_malformed_("own report exceeds a datagram and is sent without usage counts");
+    }
+    leaves_usage_out_ = is_too_long;
+    if (!is_too_long) {
+        return bytes;
+    }
+    auto shorter = report;
+    shorter.usage.reset();
+    return encode_report(shorter, items);
+}
+
+void peer_link::send(const load_report& report)
+{
+    const auto bytes = encode(report);
+    for (auto& each : pending_items_) {
         --each.remaining_sends;
     }
     std::erase_if(pending_items_, [](const pending_item& each) { return each.remaining_sends <= 0; });
-    const auto bytes = encode_report(report, items);
     for (const auto& each : fanout_.next(event_loop::now())) {
         const auto mode = each.forwards ? forwarding::within_zone : forwarding::none;
         send_to(each.daemon, static_cast<char>(mode), bytes);
--- a/router/peer_link.h
+++ b/router/peer_link.h
@@ -39,6 +39,8 @@
     /// Routing decisions use a report for a whole interval, so the interval must be well below the time that
     /// an upstream takes to respond.
     static constexpr duration min_interval = milliseconds(100);
+    /// Of UDP over IPv4.
+    static constexpr std::size_t max_datagram_bytes = 65507;
     /// Limit on the datagrams that a daemon sends per second.
     static constexpr std::size_t max_datagrams_per_second = 150;
     /// An item of soft state is repeated in this many reports, because any datagram may be lost.
@@ -56,6 +58,8 @@
     /// The first byte of a datagram with a stream message, which is not forwarded.
     static constexpr char stream_message_mark = 's';
 
+    /// The report without usage counts if it does not fit into a datagram with them.
+    std::string encode(const load_report& report);
     void on_datagram(std::string_view bytes);
     void on_stream_datagram(std::string_view bytes);
     void send_to(const std::string& daemon, char mark, std::string_view content);
@@ -71,6 +75,7 @@
     std::map<std::string, endpoint> peers_;
     report_fanout fanout_;
     std::vector<pending_item> pending_items_;
+    bool leaves_usage_out_{false}; ///< Of the last report, for lack of room.
 };
 
 } // namespace clementinegap
--- a/router/timed_call.cpp
+++ b/router/timed_call.cpp
@@ -68,6 +68,7 @@
 
 void timed_call::on_response_end(bool)
 {
+    connection_->close_in_order();
     end({std::move(head_), std::move(body_), ""});
 }
 
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -1,6 +1,8 @@
+#include "net/tcp_connection.h"
 #include "observability/bounded_output.h"
 #include "router/entry_settings.h"
 #include "router/event_splitter.h"
+#include "router/peer_link.h"
 #include "router/report_codec.h"
 #include "router/stream_message_codec.h"
 #include "routing/prompt_part_quarantine.h"
@@ -12,6 +14,7 @@
 #include <regex>
 #include <set>
 #include <unistd.h>
+#include <uv.h>
 
 using namespace clementinegap;
 
@@ -86,6 +89,40 @@
     }
 }
 
+// Counts of too many workspaces must not cost the daemons the loads of each other.
+BOOST_AUTO_TEST_CASE(go_on_without_usage_counts_where_these_exceed_a_datagram)
+{
+    constexpr int too_many_workspaces = 8000;
+    event_loop loop;
+    std::vector<load_report> received;
+    std::string warning;
+    const auto ignore = [](const auto&) {};
+    peer_link receiver(
+        loop, 1, [&](const load_reported& each) { received.push_back(each.report); }, ignore, ignore);
+    peer_link sender(loop, 1, ignore, ignore, [&](const std::string& why) { warning = why; });
+    tcp_listener reserved(loop, [](uv_stream_t*) {}); // Its port is most likely free for datagrams too.
+    BOOST_REQUIRE(reserved.listen("127.0.0.1", 0));
+    const endpoint address{"127.0.0.1", reserved.port()};
+    BOOST_REQUIRE(receiver.bind(address));
+    BOOST_REQUIRE(sender.bind({"127.0.0.1", 0}));
+    sender.set_peers({{"receiver", address}});
+    load_report report;
+    report.daemon = "sender";
+    report.usage.emplace().windows = {{1, {}}};
+    for (int index = 0; index < too_many_workspaces; ++index) {
+        report.usage->windows.front().counts["workspace-" + std::to_string(index)] = 1;
+    }
+    sender.send(report);
+    const auto end = event_loop::now() + seconds(10);
+    loop.wake_at(end, [] {});
+    while (received.empty() && event_loop::now() < end) {
+        uv_run(loop.native(), UV_RUN_ONCE);
+    }
+    BOOST_REQUIRE(received.size() == 1U);
+    BOOST_TEST(!received.front().usage.has_value());
+    BOOST_TEST(!warning.empty());
+}
+
 BOOST_AUTO_TEST_CASE(fit_into_datagrams_however_many_requests_were_lost)
 {
     constexpr std::size_t max_datagram_bytes = 65507; // Of UDP over IPv4.
