--- a/duties/duty_tenure.cpp
+++ b/duties/duty_tenure.cpp
@@ -70,6 +70,9 @@
 
 bool duty_tenure::is_new_era(std::uint64_t era)
 {
+    if (era == 0) {
+        return false;
+    }
     const auto before = std::exchange(era_, era);
     return before != 0 && era != before;
 }
--- a/misc/mutation_check.sh
+++ b/misc/mutation_check.sh
@@ -28,6 +28,7 @@
     fi
     programs="test_scenarios test_request test_policy"
     grep -q '^+++ b/routing/' "tests/mutations/$name.patch" && programs=test_routing
+    grep -q '^+++ b/duties/' "tests/mutations/$name.patch" && programs=test_duties
     # shellcheck disable=SC2086 # A list of programs.
     ninja -C "$scratch/build" -j "$jobs" $programs >"$scratch/$name.log" 2>&1 ||
         { echo "| $name | does not build |"; missed=1; restore; continue; }
--- a/tests/duties/test_usage_duty.cpp
+++ b/tests/duties/test_usage_duty.cpp
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Runs until a window is recorded without the counts of the third daemon, which arrive afterwards.
+    usage_report record_without_the_third()
+    {
+        const auto window = fleet.window();
+        fleet.cut(2, true);
+        while (duty_row_from(fleet.row()).value().reports.back().window != window) {
+            fleet.run(milliseconds(10));
+        }
+        fleet.cut(2, false);
+        return duty_row_from(fleet.row()).value().reports.back();
+    }
+
     duty_fleet fleet;
     window_number first;
 };
@@ -216,10 +228,42 @@
     BOOST_TEST(fleet.calls().size() > calls + 4);
 }
 
+BOOST_FIXTURE_TEST_CASE(and_loses_a_report_that_was_sent_nobody_records_its_window_anew, three_daemons)
+{
+    // Guards against a second report of the window with the counts that arrived after the first.
+    fleet.copy_store();
+    fleet.rates.lost_call_answer = 1;
+    const auto recorded = record_without_the_third();
+    // The second daemon hears of the row and of all counts, but has not read the row.
+    fleet.run(seconds(1));
+    BOOST_TEST((fleet.calls().back().report == recorded));
+    fleet.kill(0);
+    fleet.kill(2);
+    fleet.is_store_down = true;
+    fleet.run(seconds(5));
+    fleet.restore_store();
+    fleet.is_store_down = false;
+    fleet.rates.lost_call_answer = 0;
+    fleet.run(seconds(30));
+    BOOST_TEST(fleet.broken_rule() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(when_the_service_fails)
 
+BOOST_FIXTURE_TEST_CASE(counts_that_arrive_after_the_record_do_not_change_it, three_daemons)
+{
+    // Guards against a renewal that replaces the counts of a report that may have been sent.
+    fleet.is_service_down = true;
+    const auto recorded = record_without_the_third();
+    const auto token = fleet.token(0);
+    while (fleet.token(0) == token && duty_row_from(fleet.row()).value().reports.size() < 2) {
+        fleet.run(milliseconds(100));
+    }
+    BOOST_TEST((duty_row_from(fleet.row()).value().reports.front() == recorded));
+}
+
 BOOST_FIXTURE_TEST_CASE(for_eight_seconds_the_report_is_sent_again, three_daemons)
 {
     // Guards against a report that is tried once.
