--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -16,8 +16,8 @@
 constexpr duration failure_cost = seconds(2);
 /// Requests ahead of or behind a daemon's share of slots that count as one request per slot.
 constexpr double assumed_share_range = 4;
-/// Among engines whose costs differ by less, one with an idle connection is chosen: a new connection takes time
-/// of its upstream.
+/// Among engines whose costs differ by less, one with an idle connection is chosen: a new connection takes
+/// time of its upstream.
 constexpr duration new_connection_cost = milliseconds(10);
 /// Load difference, in requests per slot, up to which an upstream in the own zone is preferred.
 constexpr double zone_preference_requests = 1.0;
--- a/routing/upstream_choice.h
+++ b/routing/upstream_choice.h
@@ -33,7 +33,7 @@
     const software_versions* versions{nullptr}; ///< Not nullptr with an origin.
     /// Whether the request may run only once, so that it ends if an upstream loses it.
     bool runs_once{false};
-    duration objective_left{0}; ///< Time in which the request should end.
+    duration objective_left{0};                  ///< Time in which the request should end.
     const connection_view* connections{nullptr}; ///< nullptr: not known.
 
     bool needs_connection(const upstream_record& upstream) const
