--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include <algorithm>
+
 namespace clementinegap {
 namespace {
 
@@ -162,6 +164,22 @@
     return processes;
 }
 
+/// Counts are bounded, so that a faulty daemon cannot outweigh all others for long.
+std::vector<outcome_statement> decode_outcomes(const json& rows)
+{
+    constexpr double max_count = 1e5;
+    std::vector<outcome_statement> result;
+    for (const auto& each : rows) {
+        const auto lost = each.at(2).get<double>();
+        const auto outcomes = std::min(each.at(3).get<double>(), max_count);
+        if (lost > 0 && outcomes > 0) { // Neither holds for a NaN.
+            result.push_back({each.at(0).get<std::string>(), each.at(1).get<std::int64_t>(),
+                              std::min(lost, outcomes), outcomes});
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 std::string encode_report(const load_report& report, std::span<const soft_state_item> items)
@@ -196,6 +214,11 @@
     for (const auto& each : report.limits) {
         limits.push_back({each.upstream, each.revision, each.per_second ? json(*each.per_second) : json()});
     }
+    json outcomes = json::array();
+    for (const auto& each : report.outcomes) {
+        outcomes.push_back({each.upstream, each.incarnation, static_cast<float>(each.lost),
+                            static_cast<float>(each.outcomes)});
+    }
     const json document = {layout_version,
                            report.daemon,
                            report.incarnation,
@@ -213,7 +236,7 @@
                            encode_prompt_parts(report.prompt_parts),
                            encode_usage(report.usage),
                            json::array(), // Speeds of engines.
-                           json::array(), // Failures of plain upstreams.
+                           std::move(outcomes),
                            encode_ended_processes(report.ended_processes)};
     std::string bytes;
     json::to_msgpack(document, bytes);
@@ -267,6 +290,7 @@
         }
         report.prompt_parts = decode_prompt_parts(document.at(14));
         report.usage = decode_usage(document.at(15));
+        report.outcomes = decode_outcomes(document.at(17));
         report.ended_processes = decode_ended_processes(document.at(18));
         for (const auto& each : document.at(7)) {
             soft_state_item item;
--- a/routing/load_tracker.h
+++ b/routing/load_tracker.h
@@ -8,6 +8,7 @@
 #include "routing/prompt_cache_view.h"
 #include "routing/prompt_part_quarantine.h"
 #include "routing/row_source.h"
+#include "routing/upstream_health.h"
 #include "routing/upstream_limits.h"
 
 #include <cstdint>
@@ -61,6 +62,7 @@
     prompt_part_statements prompt_parts{};        ///< Parts that crash upstreams.
     relay_status relay{};                         ///< The platform's table rows that the daemon can serve.
     std::vector<ended_process> ended_processes{}; ///< Upstream processes that refused a connection lately.
+    std::vector<outcome_statement> outcomes{};    ///< At plain upstreams that lost requests recently.
     std::optional<usage_statement> usage{};       ///< Nothing where no daemon sends usage reports.
 };
 
--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -116,17 +116,21 @@
 upstream_choice request_router::choose(const routed_request& request) const
 {
     const auto current_gate = gate();
+    const auto excluded = excluded_for(request);
     const choice_view view{load_,
                            health_,
                            placement_.caches(),
                            settings_.zone,
-                           request.tried,
+                           excluded,
                            now_,
                            request.short_gap,
                            placement_.speed(request.service),
                            &current_gate,
                            request.origin ? &*request.origin : nullptr,
-                           &versions_};
+                           &versions_,
+                           request.matched_route->repeat == repeat_rule::once,
+                           request.arrived + request.matched_route->objective - now_,
+                           connections_};
     if (request.is_generation()) {
         return placement_.choose(request, view);
     }
@@ -164,10 +168,13 @@
     request.sent_at = now_;
     request.expected_start = placement_.expected_start(request, choice);
     request.sent_choice = choice;
-    request.tried.push_back(choice.upstream->id);
+    mark_tried(request, choice.upstream->id);
     ++request.sends;
     request.is_probe = backoffs_.sent(choice.upstream->id);
     shares_.sent(choice.upstream->id, now_);
+    if (!request.is_generation()) {
+        slots_.sent(use_of(*choice.upstream), now_);
+    }
     load_.add(choice.upstream->id, request.prefill_tokens, request.short_gap);
     if (request.is_generation()) {
         placement_.sent(request, now_);
@@ -187,7 +194,7 @@
     timers_.cancel(request.timer);
     auto due = request.ends_at;
     const bool can_move = request.matched_route->repeat == repeat_rule::repeatable &&
-                          request.sends < request.matched_route->max_upstreams;
+                          request.upstreams < request.matched_route->max_upstreams;
     if (can_move) {
         due = std::min(due, now_ + request.matched_route->objective * move_after_tenths / 10);
     }
@@ -201,6 +208,10 @@
         return;
     }
     auto& request = found->second;
+    if (request.waits_to_repeat && now_ < request.ends_at) {
+        repeat(request);
+        return;
+    }
     if (now_ < request.ends_at) {
         const bool can_move = request.upstream && !request.response_begun && choose(request).upstream;
         if (can_move && budget(request.service).take(daemons(), now_)) {
@@ -248,12 +259,16 @@
     log("request.send_failed", request, describe_failure(request, event, now_));
     if (event.fault == send_fault::not_run) {
         placement_.not_run(request, now_);
+        if (!request.is_generation()) {
+            slots_.rejected(use_of(*upstream), now_);
+        }
     }
     end_probe(request, event.fault == send_fault::recalled ? probe_result::unknown : probe_result::failed);
     release(request);
     health_.send_failed(upstream->id, event.fault, now_);
     if (event.fault == send_fault::unreachable) {
         --request.sends;
+        request.upstreams -= request.is_repeat ? 0 : 1;
         ++request.unreachable;
         process_ended(upstream->id);
         if (event.refused) {
@@ -265,7 +280,7 @@
         }
     } else if (event.fault == send_fault::recalled) {
         --request.sends;
-        request.tried.pop_back(); // Once the upstream accepts requests again, it may be used like any other.
+        unmark_recalled(request, upstream->id);
     } else if (event.fault == send_fault::lost) {
         crashes_.send_lost(upstream->id, request.fingerprint, now_);
         prompt_parts_.send_lost(*upstream, request.prompt, request.sent_at, request.streamed_for(now_), now_);
@@ -289,7 +304,9 @@
     if (request.may_have_run && matched_route.repeat == repeat_rule::once) {
         return false;
     }
-    if (request.sends >= matched_route.max_upstreams || request.unreachable > max_unreachable) {
+    const bool can_repeat = request.may_repeat && !request.rejected_by.empty();
+    if ((request.upstreams >= matched_route.max_upstreams && !can_repeat) ||
+        request.unreachable > max_unreachable) {
         return false;
     }
     if (is_quarantined(request)) {
@@ -373,6 +390,7 @@
             const auto known = service_time(request.service);
             service_times_[request.service] =
                 known + (now_ - request.sent_at - known) / service_time_smoothing;
+            slots_.succeeded(use_of(*request.upstream), now_);
         }
     }
     log("request.completed", request,
@@ -380,7 +398,9 @@
             std::to_string(to_milliseconds(request.first_event_after)) +
             (event.upstream_failed ? " upstream_failed" : ""));
     end_probe(request, event.upstream_failed ? probe_result::failed : probe_result::succeeded);
+    const auto service = request.service;
     finish(request, event.upstream_failed ? result_code::upstream_failed : result_code::ok);
+    slot_freed(service);
 }
 
 void request_router::on(const caller_left& event)
@@ -421,6 +441,7 @@
     }
     end_probe(request, probe_result::unknown);
     load_.remove(request.upstream->id, request.prefill_tokens, request.short_gap);
+    slots_.ended(request.upstream->id);
     request.prefill_tokens = 0;
     request.upstream = nullptr;
 }
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/slot_shares.h"
 #include "core/timer_service.h"
 #include "routing/capacity_wait_queue.h"
 #include "routing/crash_watch.h"
@@ -57,6 +58,8 @@
     /// Latest time at which the next `tick` is due.
     time_point next_due() const { return timers_.next_due(); }
 
+    /// \param connections must outlive the router's last event; nullptr: not known.
+    void set_connections(const connection_view* connections) { connections_ = connections; }
     /// Whether callers should be sent to this daemon.
     bool is_ready() const { return has_tables() && knows_suspicions() && !draining(); }
     bool draining() const { return drain_deadline_ != never; }
@@ -76,6 +79,8 @@
     static constexpr duration default_retry_after = milliseconds(800);
     /// How long a daemon that could serve otherwise waits for the recorded suspicions.
     static constexpr duration max_suspicions_wait = seconds(3);
+    /// Limits the size of a report; few plain upstreams fail at the same time.
+    static constexpr std::size_t max_outcome_statements = 8;
 
     void on(const request_arrived& event);
     void on(const send_failed& event);
@@ -140,13 +145,27 @@
     bool try_send(routed_request& request);
     void release(routed_request& request);
     bool may_send_again(routed_request& request, const send_failed& event);
+    /// A full upstream rejected a plain request, which did not run. Upstreams with few slots soon have room,
+    /// so the request waits and is sent again, also to the same upstream.
+    /// \returns false if it should not wait.
+    bool wait_to_repeat(routed_request& request, const send_failed& event);
+    void repeat(routed_request& request);
+    slot_use use_of(const upstream_record& upstream) const;
+    /// A plain request of the service has ended, so that a waiting one may be sent.
+    void slot_freed(const std::string& service);
+    static void mark_tried(routed_request& request, const std::string& upstream);
+    /// The current send was recalled: once the upstream accepts requests again, it may be used like any
+    /// other.
+    static void unmark_recalled(routed_request& request, const std::string& upstream);
+    /// Ids of the upstreams that the next send of the request must not use.
+    std::vector<std::string> excluded_for(const routed_request& request) const;
     void give_up(routed_request& request, send_fault fault, bool response_begun);
     void apply_limit(const upstream_notice& event);
     /// The known limit of the upstream has changed.
     void limit_changed(std::string_view upstream, const std::string& source);
     /// Recomputes this daemon's shares of limits if an input has changed since the last time.
     void update_shares();
-    send_gate gate() const { return {backoffs_, shares_}; }
+    send_gate gate() const { return {backoffs_, shares_, &slots_}; }
     void apply_leave_notice(const leave_notice& value, const std::string& source);
     /// Queues a request until an upstream of its service accepts requests again.
     /// \returns false if waiting would not help.
@@ -164,6 +183,9 @@
     /// Retry-After for a caller that is refused.
     duration retry_after_for(const routed_request& request);
     duration service_time(const std::string& service) const;
+    /// What this daemon reports of the plain upstreams that lose requests.
+    std::vector<outcome_statement> outcome_statements(time_point now) const;
+    bool is_plain(const upstream_record& upstream) const;
     void on_timer(request_number number);
     void schedule(routed_request& request);
     void finish(routed_request& request, result_code code);
@@ -197,6 +219,7 @@
     void housekeeping();
 
     router_settings settings_;
+    const connection_view* connections_{nullptr};
     time_point now_{};
     std::optional<time_point> started_at_; ///< The first event of a daemon that may follow others.
     timer_service timers_;
@@ -221,6 +244,7 @@
     upstream_limits limits_;
     fleet_members members_;
     limit_shares shares_;
+    slot_shares slots_;                                                   ///< Of plain upstreams.
     std::map<std::string, capacity_wait_queue, std::less<>> wait_queues_; ///< By service.
     std::map<std::string, retry_budget, std::less<>> budgets_;
     /// Smoothed response time of plain requests.
--- a/routing/request_router_fleet.cpp
+++ b/routing/request_router_fleet.cpp
@@ -40,6 +40,7 @@
     placement_.placed_by_other(event.report.placements, now_);
     placement_.merge_speeds(event.report.speeds);
     load_.on_report(event.report, now_);
+    health_.on_report(event.report.daemon, event.report.outcomes, now_);
     for (const auto& item : event.items) {
         crashes_.on_item(item, now_);
         suspicion_record_.received(item, now_);
@@ -94,6 +95,7 @@
     origins_.expire(now_);
     backoffs_.expire(now_);
     limits_.expire(now_);
+    slots_.expire(now_);
     members_.expire(now_);
     record_quarantines();
     if (auto row = suspicion_record_.due(now_)) {
@@ -137,6 +139,7 @@
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
     result.speeds = placement_.take_speeds();
+    result.outcomes = outcome_statements(now);
     return result;
 }
 
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -14,6 +14,11 @@
 constexpr double full_disturbance_tokens = 4000;
 /// Cost of a failed request to its caller, as an equivalent wait.
 constexpr duration failure_cost = seconds(2);
+/// Requests ahead of or behind a daemon's share of slots that count as one request per slot.
+constexpr double assumed_share_range = 4;
+/// Among engines whose costs differ by less, one with an idle connection is chosen: a new connection takes
+/// time of its upstream.
+constexpr duration new_connection_cost = milliseconds(10);
 /// Load difference, in requests per slot, up to which an upstream in the own zone is preferred.
 constexpr double zone_preference_requests = 1.0;
 
@@ -137,6 +142,7 @@
                      (engine->zone == view.zone ? duration::zero() : weights.other_zone_cost) +
                      (load.backoffs == 0 ? duration::zero() : weights.backoff_elsewhere_cost) +
                      disturbance(load, to_read, view, weights) +
+                     (view.needs_connection(*engine) ? new_connection_cost : duration::zero()) +
                      scaled(failure_cost, view.health.failure_share(engine->id, view.now));
     return candidate;
 }
@@ -177,22 +183,38 @@
                              const choice_view& view)
 {
     upstream_choice best;
+    upstream_choice best_sound; // Among those that lose few requests and can take it within its objective.
     double best_cost = std::numeric_limits<double>::max();
+    double best_sound_cost = best_cost;
     for_each_usable(upstreams, view, [&](const upstream_ptr& each) {
         const double slots = std::max(each->slots, 1U);
         const auto load = view.load.at(each->id);
         const double in_flight = load.in_flight;
         const bool near = each->zone == view.zone;
         const double backoff_elsewhere = load.backoffs == 0 ? 0 : 1;
-        const double cost = (in_flight + (near ? 0 : zone_preference_requests)) / slots + backoff_elsewhere +
-                            view.health.failure_share(each->id, view.now);
+        // An upstream that rejected lately counts as full. Reports are older than its requests take, so it is
+        // compared by what this daemon sent it.
+        const auto ahead =
+            view.gate == nullptr ? std::nullopt : view.gate->ahead_of_share(each->id, view.now);
+        const double load_cost = ahead ? std::max(0.0, 1 + *ahead / assumed_share_range)
+                                       : (in_flight + (near ? 0 : zone_preference_requests)) / slots;
+        const double cost = load_cost + backoff_elsewhere + view.health.failure_share(*each, view.now);
+        if (cost >= best_cost && cost >= best_sound_cost) {
+            return;
+        }
+        const double waiting = std::max(0.0, in_flight + 1 - slots);
+        const upstream_choice choice{each, scaled(service_time, waiting / slots), 0, 0, nullptr};
         if (cost < best_cost) {
             best_cost = cost;
-            const double waiting = std::max(0.0, in_flight + 1 - slots);
-            best = {each, scaled(service_time, waiting / slots), 0, 0, nullptr};
+            best = choice;
+        }
+        if (view.runs_once && cost < best_sound_cost && !view.health.loses_requests(*each, view.now) &&
+            choice.expected_wait + service_time <= view.objective_left) {
+            best_sound_cost = cost;
+            best_sound = choice;
         }
     });
-    return best;
+    return best_sound.upstream ? best_sound : best;
 }
 
 } // namespace clementinegap
