A rejection that asks for a backoff starts no share of slots

Cause: an upstream that refuses with Retry-After says itself when it has room; the share bounded the wait by the objective, so a request that could have waited for the end of the backoff was refused. Change: such a rejection starts no share. Measured: test_router, no errors.

--- a/routing/request_router_waiting.cpp
+++ b/routing/request_router_waiting.cpp
@@ -129,7 +129,7 @@
 bool request_router::wait_to_repeat(routed_request& request, const send_failed& event)
 {
     if (event.fault != send_fault::not_run || request.is_generation() || event.response_begun ||
-        is_quarantined(request)) {
+        is_quarantined(request) || backoffs_.is_blocked(request.tried.back(), now_)) {
         return false;
     }
     const auto& by = request.tried.back();
