--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -116,12 +116,11 @@
 upstream_choice request_router::choose(const routed_request& request) const
 {
     const auto current_gate = gate();
-    const auto excluded = excluded_for(request);
     const choice_view view{load_,
                            health_,
                            placement_.caches(),
                            settings_.zone,
-                           excluded,
+                           request.tried,
                            now_,
                            request.short_gap,
                            placement_.speed(request.service),
@@ -168,7 +167,7 @@
     request.sent_at = now_;
     request.expected_start = placement_.expected_start(request, choice);
     request.sent_choice = choice;
-    mark_tried(request, choice.upstream->id);
+    request.tried.push_back(choice.upstream->id);
     ++request.sends;
     request.is_probe = backoffs_.sent(choice.upstream->id);
     shares_.sent(choice.upstream->id, now_);
@@ -194,7 +193,7 @@
     timers_.cancel(request.timer);
     auto due = request.ends_at;
     const bool can_move = request.matched_route->repeat == repeat_rule::repeatable &&
-                          request.upstreams < request.matched_route->max_upstreams;
+                          request.sends < request.matched_route->max_upstreams;
     if (can_move) {
         due = std::min(due, now_ + request.matched_route->objective * move_after_tenths / 10);
     }
@@ -208,10 +207,6 @@
         return;
     }
     auto& request = found->second;
-    if (request.waits_to_repeat && now_ < request.ends_at) {
-        repeat(request);
-        return;
-    }
     if (now_ < request.ends_at) {
         const bool can_move = request.upstream && !request.response_begun && choose(request).upstream;
         if (can_move && budget(request.service).take(daemons(), now_)) {
@@ -259,7 +254,8 @@
     log("request.send_failed", request, describe_failure(request, event, now_));
     if (event.fault == send_fault::not_run) {
         placement_.not_run(request, now_);
-        if (!request.is_generation()) {
+        // An upstream that asks for a backoff says itself when it has room again.
+        if (!request.is_generation() && !backoffs_.is_blocked(upstream->id, now_)) {
             slots_.rejected(use_of(*upstream), now_);
         }
     }
@@ -268,7 +264,6 @@
     health_.send_failed(upstream->id, event.fault, now_);
     if (event.fault == send_fault::unreachable) {
         --request.sends;
-        request.upstreams -= request.is_repeat ? 0 : 1;
         ++request.unreachable;
         process_ended(upstream->id);
         if (event.refused) {
@@ -280,7 +275,7 @@
         }
     } else if (event.fault == send_fault::recalled) {
         --request.sends;
-        unmark_recalled(request, upstream->id);
+        request.tried.pop_back(); // Once the upstream accepts requests again, it may be used like any other.
     } else if (event.fault == send_fault::lost) {
         crashes_.send_lost(upstream->id, request.fingerprint, now_);
         prompt_parts_.send_lost(*upstream, request.prompt, request.sent_at, request.streamed_for(now_), now_);
@@ -304,9 +299,7 @@
     if (request.may_have_run && matched_route.repeat == repeat_rule::once) {
         return false;
     }
-    const bool can_repeat = request.may_repeat && !request.rejected_by.empty();
-    if ((request.upstreams >= matched_route.max_upstreams && !can_repeat) ||
-        request.unreachable > max_unreachable) {
+    if (request.sends >= matched_route.max_upstreams || request.unreachable > max_unreachable) {
         return false;
     }
     if (is_quarantined(request)) {
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -145,20 +145,9 @@
     bool try_send(routed_request& request);
     void release(routed_request& request);
     bool may_send_again(routed_request& request, const send_failed& event);
-    /// A full upstream rejected a plain request, which did not run. Upstreams with few slots soon have room,
-    /// so the request waits and is sent again, also to the same upstream.
-    /// \returns false if it should not wait.
-    bool wait_to_repeat(routed_request& request, const send_failed& event);
-    void repeat(routed_request& request);
     slot_use use_of(const upstream_record& upstream) const;
     /// A plain request of the service has ended, so that a waiting one may be sent.
     void slot_freed(const std::string& service);
-    static void mark_tried(routed_request& request, const std::string& upstream);
-    /// The current send was recalled: once the upstream accepts requests again, it may be used like any
-    /// other.
-    static void unmark_recalled(routed_request& request, const std::string& upstream);
-    /// Ids of the upstreams that the next send of the request must not use.
-    std::vector<std::string> excluded_for(const routed_request& request) const;
     void give_up(routed_request& request, send_fault fault, bool response_begun);
     void apply_limit(const upstream_notice& event);
     /// The known limit of the upstream has changed.
--- a/routing/request_router_waiting.cpp
+++ b/routing/request_router_waiting.cpp
@@ -3,7 +3,6 @@
 #include "routing/scaled_duration.h"
 
 #include <algorithm>
-#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -17,10 +16,6 @@
 /// Assumed time of a plain request at a service that has not responded to any yet.
 constexpr duration first_service_time = milliseconds(50);
 
-/// Doublings of the wait between the sends of a rejected request, so that one request cannot use up the retry
-/// budget.
-constexpr std::uint32_t max_wait_doublings = 4;
-
 } // namespace
 
 bool request_router::wait_for_capacity(routed_request& request)
@@ -28,7 +23,7 @@
     if (draining()) {
         return false;
     }
-    const auto availability = next_availability(usable_for(request), excluded_for(request), gate(), now_);
+    const auto availability = next_availability(usable_for(request), request.tried, gate(), now_);
     if (!availability || availability->at == never) {
         return false;
     }
@@ -90,7 +85,7 @@
             continue;
         }
         auto& request = found->second;
-        const auto availability = next_availability(usable_for(request), excluded_for(request), gate(), now_);
+        const auto availability = next_availability(usable_for(request), request.tried, gate(), now_);
         const bool is_limited = availability && availability->share + availability->limit > 0;
         if (!is_limited || (availability->at != never && ahead < places_for(request, *availability))) {
             ++ahead;
@@ -126,50 +121,6 @@
     }
 }
 
-bool request_router::wait_to_repeat(routed_request& request, const send_failed& event)
-{
-    if (event.fault != send_fault::not_run || request.is_generation() || event.response_begun ||
-        is_quarantined(request) || backoffs_.is_blocked(request.tried.back(), now_)) {
-        return false;
-    }
-    const auto& by = request.tried.back();
-    if (std::ranges::find(request.rejected_by, by) == request.rejected_by.end()) {
-        request.rejected_by.push_back(by);
-    }
-    request.may_repeat = false;
-    const auto doublings = std::min(request.rejections++, max_wait_doublings);
-    const auto usual = service_time(request.service);
-    const auto wait = jittered(usual / 2 * (1U << doublings));
-    if (now_ + wait + usual > request.ends_at) {
-        return false;
-    }
-    if (request.upstreams < request.matched_route->max_upstreams) {
-        const auto elsewhere = choose(request);
-        if (elsewhere.upstream && elsewhere.expected_wait == duration::zero()) {
-            return false;
-        }
-    }
-    if (!budget(request.service).take(daemons(), now_)) {
-        log("request.no_budget", request, "retry budget of " + request.service + " is used up");
-        return false;
-    }
-    log("request.waiting", request, "rejected, opens_in_ms " + std::to_string(to_milliseconds(wait)));
-    request.waits_to_repeat = true;
-    timers_.cancel(request.timer);
-    request.timer =
-        timers_.schedule(now_ + wait, [this, number = request.number](time_point) { on_timer(number); });
-    return true;
-}
-
-void request_router::repeat(routed_request& request)
-{
-    request.waits_to_repeat = false;
-    request.may_repeat = true;
-    if (!try_send(request)) {
-        give_up(request, send_fault::not_run, false);
-    }
-}
-
 slot_use request_router::use_of(const upstream_record& upstream) const
 {
     return {upstream.id, upstream.slots, service_time(upstream.service), daemons()};
@@ -183,49 +134,10 @@
     }
 }
 
-void request_router::mark_tried(routed_request& request, const std::string& upstream)
-{
-    request.is_repeat = std::erase(request.tried, upstream) > 0;
-    request.tried.push_back(upstream);
-    std::erase(request.rejected_by, upstream);
-    request.upstreams += request.is_repeat ? 0 : 1;
-}
-
-void request_router::unmark_recalled(routed_request& request, const std::string& upstream)
-{
-    if (request.is_repeat) {
-        request.rejected_by.push_back(upstream);
-        return;
-    }
-    request.tried.pop_back();
-    --request.upstreams;
-}
-
-std::vector<std::string> request_router::excluded_for(const routed_request& request) const
-{
-    if (!request.may_repeat) {
-        return request.tried;
-    }
-    const auto is_rejector = [&](const std::string& id) {
-        return std::ranges::find(request.rejected_by, id) != request.rejected_by.end();
-    };
-    std::vector<std::string> result;
-    if (request.upstreams < request.matched_route->max_upstreams) {
-        std::ranges::remove_copy_if(request.tried, std::back_inserter(result), is_rejector);
-        return result;
-    }
-    for (const auto& each : directory_.usable(request.service, now_)) {
-        if (!is_rejector(each->id)) {
-            result.push_back(each->id);
-        }
-    }
-    return result;
-}
-
 std::string request_router::unsent_reason(const routed_request& request) const
 {
     const auto upstreams = usable_for(request);
-    const auto availability = next_availability(upstreams, excluded_for(request), gate(), now_);
+    const auto availability = next_availability(upstreams, request.tried, gate(), now_);
     if (!availability) {
         return "no upstream can end it in time";
     }
--- a/routing/routed_request.h
+++ b/routing/routed_request.h
@@ -57,13 +57,7 @@
     upstream_choice sent_choice;    ///< The upstream and expectations of the current send.
     std::vector<std::string> tried; ///< Upstreams that it was sent to or that could not be reached.
     std::uint32_t sends{0};         ///< Number of sends that reached an upstream.
-    std::uint32_t upstreams{0};     ///< Number of different upstreams that it was sent to.
-    bool is_repeat{false};          ///< Whether the current send goes to an upstream that rejected it before.
-    std::vector<std::string> rejected_by; ///< Full upstreams that did not run it; they can be asked again.
-    std::uint32_t rejections{0};
-    bool waits_to_repeat{false}; ///< Until upstreams that were full may have room.
-    bool may_repeat{false};      ///< Whether it has waited since the last rejection.
-    duration expected_wait{0};   ///< Expected wait at the last chosen upstream.
+    duration expected_wait{0};      ///< Expected wait at the last chosen upstream.
     std::uint32_t unreachable{0};
     bool may_have_run{false};
     bool is_counted{false}; ///< It has begun to run and was counted for its workspace.
