Sections of engines that follow demand under scarcity; tolerant kinds share one

The section of short streams kept 28 engines for seconds after their burst, and the boundary between the two kinds of prompts moved all the time, which cost parts read again.

A kind that tolerates a chunk of prompt with each token shares its section with the more tolerant kinds.

--- a/routing/engine_partition.cpp
+++ b/routing/engine_partition.cpp
@@ -1,5 +1,6 @@
 #include "routing/engine_partition.h"
 
+#include "capacity/section_sizes.h"
 #include "core/digest.h"
 
 #include <algorithm>
@@ -8,66 +9,44 @@
 namespace clementinegap {
 namespace {
 
-/// Minimum demand of a kind that was seen, in engine seconds per second, however little it requested
-/// recently.
-constexpr double min_demand = 0.01;
-
-/// Utilization of an engine up to which its streams stay on time.
-constexpr double target_utilization = 0.7;
-
-struct kind_demand {
-    double work{0};
-    double recent_work{0};
-    std::uint8_t urgency{UINT8_MAX};
+/// Demand of the kinds of streams that share a section.
+struct section_kinds {
+    duration least_tolerance{0};
+    duration most_tolerance{0};
+    section_demand demand;
 };
-using kind_demands = std::map<duration, kind_demand>;
 
-kind_demands sum_by_tolerance(std::span<const stream_demand> demands)
+/// \param shares_from step tolerance from which kinds share their engines with the more tolerant ones.
+std::vector<section_kinds> group_kinds(std::span<const stream_demand> demands, duration shares_from)
 {
-    kind_demands sums;
+    std::map<duration, section_demand> sums;
     for (const auto& each : demands) {
-        auto& sum = sums[each.step_tolerance];
+        auto& sum = sums.try_emplace(each.step_tolerance, section_demand{0, 0, UINT8_MAX}).first->second;
         sum.work += each.work;
         sum.recent_work += each.recent_work;
         sum.urgency = std::min(sum.urgency, each.urgency);
     }
-    for (auto& [tolerance, sum] : sums) {
-        sum.work = std::max({sum.work, sum.recent_work, min_demand});
-    }
-    return sums;
-}
-
-/// Fractional number of engines of each kind, at least one, out of `engines`.
-std::vector<double> ideal_sizes(const kind_demands& sums, std::size_t engines)
-{
-    double total = 0;
-    std::vector<std::pair<std::uint8_t, std::size_t>> by_urgency;
-    std::vector<double> wanted;
+    std::vector<section_kinds> groups;
     for (const auto& [tolerance, sum] : sums) {
-        by_urgency.emplace_back(sum.urgency, wanted.size());
-        wanted.push_back(sum.work);
-        total += sum.work;
-    }
-    double spare = static_cast<double>(engines - sums.size());
-    std::vector<double> sizes(sums.size(), 1.0);
-    if (total / target_utilization <= static_cast<double>(engines)) {
-        for (std::size_t i = 0; i < sizes.size(); ++i) {
-            sizes[i] += spare * wanted[i] / total;
+        // The streams with the shortest gaps always keep engines of their own.
+        const bool shares = groups.size() > 1 && groups.back().least_tolerance >= shares_from;
+        if (!shares) {
+            groups.push_back({tolerance, tolerance, sum});
+            continue;
         }
-        return sizes;
+        auto& last = groups.back();
+        last.most_tolerance = tolerance;
+        last.demand.work += sum.work;
+        last.demand.recent_work += sum.recent_work;
+        last.demand.urgency = std::min(last.demand.urgency, sum.urgency);
     }
-    std::sort(by_urgency.begin(), by_urgency.end());
-    for (const auto& [urgency, kind] : by_urgency) {
-        const double more = std::min(spare, std::max(0.0, wanted[kind] / target_utilization - 1));
-        sizes[kind] += more;
-        spare -= more;
-    }
-    return sizes;
+    return groups;
 }
 
 } // namespace
 
-void engine_partition::update(std::vector<upstream_ptr> engines, std::span<const stream_demand> demands)
+void engine_partition::update(std::vector<upstream_ptr> engines, std::span<const stream_demand> demands,
+                              duration shares_from)
 {
     std::vector<std::pair<std::uint64_t, upstream_ptr>> ordered;
     ordered.reserve(engines.size());
@@ -82,32 +61,35 @@
         engines_.push_back(std::move(each.second));
     }
 
-    const auto sums = sum_by_tolerance(demands);
-    if (sums.empty() || engines_.size() < sums.size()) {
+    const auto groups = group_kinds(demands, shares_from);
+    if (groups.empty() || engines_.size() < groups.size()) {
         sections_.clear();
         return;
     }
-    const auto sizes = ideal_sizes(sums, engines_.size());
-    const bool same_kinds = sections_.size() == sums.size();
+    std::vector<section_demand> group_demands;
+    for (const auto& each : groups) {
+        group_demands.push_back(each.demand);
+    }
+    const auto sizes = section_sizes(group_demands, static_cast<double>(engines_.size()));
+    const bool same_sections = sections_.size() == groups.size();
     std::vector<section> next;
     double boundary = 0;
     std::size_t first = 0;
-    auto kind = sums.begin();
-    for (std::size_t i = 0; i < sizes.size(); ++i, ++kind) {
+    for (std::size_t i = 0; i < sizes.size(); ++i) {
         boundary += sizes[i];
         auto end = static_cast<std::size_t>(std::lround(boundary));
-        if (same_count && same_kinds) {
+        if (same_count && same_sections) {
             const auto before = sections_[i].first + sections_[i].count;
             if (std::abs(boundary - static_cast<double>(before)) < hysteresis) {
                 end = before;
             }
         }
-        const std::size_t kinds_left = sizes.size() - i - 1;
-        end = std::clamp(end, first + 1, engines_.size() - kinds_left);
-        if (kinds_left == 0) {
+        const std::size_t sections_left = sizes.size() - i - 1;
+        end = std::clamp(end, first + 1, engines_.size() - sections_left);
+        if (sections_left == 0) {
             end = engines_.size();
         }
-        next.push_back({kind->first, first, end - first});
+        next.push_back({groups[i].least_tolerance, groups[i].most_tolerance, first, end - first});
         first = end;
     }
     sections_ = std::move(next);
@@ -116,7 +98,7 @@
 std::span<const upstream_ptr> engine_partition::engines_for(duration step_tolerance) const
 {
     const auto found = std::find_if(sections_.begin(), sections_.end(), [&](const section& each) {
-        return each.step_tolerance == step_tolerance;
+        return each.least_tolerance <= step_tolerance && step_tolerance <= each.most_tolerance;
     });
     if (found == sections_.end()) {
         return engines_;
@@ -127,7 +109,7 @@
 std::span<const upstream_ptr> engine_partition::more_tolerant_engines(duration step_tolerance) const
 {
     const auto found = std::find_if(sections_.begin(), sections_.end(), [&](const section& each) {
-        return each.step_tolerance > step_tolerance;
+        return each.least_tolerance > step_tolerance;
     });
     if (found == sections_.end()) {
         return {};
--- a/routing/engine_partition.h
+++ b/routing/engine_partition.h
@@ -13,23 +13,28 @@
 
 /// Partitions the engines of a service by the token gap that streams tolerate. A long prompt is read in
 /// chunks between the tokens of the other requests on its engine, so streams with short gaps are kept away
-/// from long prompts. Each kind of stream gets engines in proportion to its demand, but at least one. If
-/// there are too few engines, the more urgent kinds get what they need first.
+/// from long prompts. Kinds that tolerate a chunk with each token share a section: what one of them does not
+/// use is there for the others at once, and fewer boundaries move. `section_sizes` divides the engines among
+/// the sections.
 ///
 /// Engines are ordered by a hash of their ids, and the sections follow that order by rising tolerance.
 /// Daemons that see similar demand therefore choose similar sections without coordination. Where they differ,
 /// an engine is shared for a short time, which is harmless.
 class engine_partition {
 public:
-    /// The contiguous range of engines that a kind of stream uses.
+    /// The contiguous range of engines that kinds of streams use.
     struct section {
-        duration step_tolerance{0};
+        duration least_tolerance{0}; ///< Step tolerance of its least tolerant kind.
+        duration most_tolerance{0};
         std::size_t first{0};
         std::size_t count{0};
     };
 
     /// \param demands of all daemons; a kind may occur several times.
-    void update(std::vector<upstream_ptr> engines, std::span<const stream_demand> demands);
+    /// \param shares_from step tolerance from which a kind shares its section with the more tolerant ones;
+    /// the kind with the shortest gaps never does.
+    void update(std::vector<upstream_ptr> engines, std::span<const stream_demand> demands,
+                duration shares_from = duration::max());
 
     /// All engines in partition order.
     std::span<const upstream_ptr> engines() const { return engines_; }
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -15,6 +15,11 @@
 /// One in this many reports contains engine speeds: every few seconds in a large fleet, more than once a
 /// second in a small one.
 constexpr std::uint64_t reports_per_speed_update = 8;
+/// Prompt tokens that an engine reads between two tokens of its streams; usual for chunked prefill.
+constexpr std::uint64_t chunk_tokens = 2048;
+/// Measured speeds above this part of the assumed one do not change which kinds share engines: the estimate
+/// varies with the load by less.
+constexpr double slow_engine_share = 0.67;
 
 } // namespace
 
@@ -45,11 +50,21 @@
     for (const auto& [name, each] : table.services()) {
         if (each.engine) {
             caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
-            partitions_[name].update(directory.usable(name, now), demands);
+            partitions_[name].update(directory.usable(name, now), demands, chunk_step(name));
         }
     }
 }
 
+duration generation_placement::chunk_step(std::string_view service) const
+{
+    // A constant as long as the engines are not far slower, so that all daemons choose the same sections.
+    const auto measured = speed(service);
+    const bool is_slow =
+        measured.prompt_tokens_per_ms < assumed_speed_.prompt_tokens_per_ms * slow_engine_share;
+    const auto& used = is_slow ? measured : assumed_speed_;
+    return used.prefill_time(chunk_tokens) + assumed_speed_.token;
+}
+
 duration generation_placement::step_tolerance(const route& matched_route, const service* target)
 {
     if (target == nullptr || !target->engine || matched_route.max_gap == duration::zero()) {
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -85,6 +85,8 @@
     upstream_choice choose_by(const least_in_flight& rule, const routed_request& request,
                               const choice_view& view) const;
 
+    /// Time of a step in which an engine reads a chunk of a prompt beside its streams.
+    duration chunk_step(std::string_view service) const;
     engine_speed_estimate& estimate(const std::string& service);
     /// An engine from which the shared parts of the prompt can be copied.
     part_source source_of(const routed_request& request, const choice_view& view) const;
--- a/tests/routing/test_components.cpp
+++ b/tests/routing/test_components.cpp
@@ -268,6 +268,35 @@
     BOOST_TEST(partition.engines_for(milliseconds(80)).size() < before);
 }
 
+// With sections of their own, long prompts were refused at their crest while the engines of the other
+// tolerant kind were idle.
+BOOST_AUTO_TEST_CASE(gives_kinds_that_tolerate_a_chunk_with_each_token_one_section)
+{
+    engine_partition partition;
+    const std::vector<stream_demand> demands = {
+        {milliseconds(40), 1.0, 0, 0}, {milliseconds(60), 4.0, 0, 1}, {milliseconds(160), 4.0, 0, 2}};
+    partition.update(make_engines(12), demands, milliseconds(59));
+    BOOST_TEST(partition.sections().size() == 2U);
+    BOOST_TEST(partition.engines_for(milliseconds(60)).data() ==
+               partition.engines_for(milliseconds(160)).data());
+    BOOST_TEST(partition.engines_for(milliseconds(160)).size() >= 9U);
+    BOOST_TEST(partition.more_tolerant_engines(milliseconds(60)).empty());
+    BOOST_TEST(partition.more_tolerant_engines(milliseconds(40)).size() ==
+               partition.engines_for(milliseconds(160)).size());
+
+    BOOST_TEST_CONTEXT("engines that read too slowly for the middle kind keep it apart")
+    {
+        partition.update(make_engines(12), demands, milliseconds(110));
+        BOOST_TEST(partition.sections().size() == 3U);
+    }
+    BOOST_TEST_CONTEXT("the streams with the shortest gaps never share")
+    {
+        partition.update(make_engines(12), demands, milliseconds(10));
+        BOOST_TEST(partition.sections().size() == 2U);
+        BOOST_TEST(partition.engines_for(milliseconds(40)).size() < 4U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(gives_all_engines_to_all_when_there_are_fewer_than_kinds)
 {
     engine_partition partition;
