Prompt affinity weighed for each request; caches are followed with the memory of requests

The view of caches assumed a third of an engine's memory for shared parts, whatever ran there.

Change: affinity/prefix_supply weighs reading by the requests that it delays, against a copy and against the wait at an engine that has the parts. The view of caches records what requests use alone; load reports carry it (index 16, layout 14).

--- a/router/report_codec.cpp
+++ b/router/report_codec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// To be incremented with every change of the layout; daemons reject reports of another layout version.
-constexpr int layout_version = 13;
+constexpr int layout_version = 14;
 
 json encode_prompt_parts(const prompt_part_statements& statements)
 {
@@ -197,6 +197,10 @@
     for (const auto& each : report.placements) {
         placements.push_back({each.upstream, each.part, each.tokens, to_milliseconds(each.ready_in)});
     }
+    json memory_uses = json::array();
+    for (const auto& each : report.memory_uses) {
+        memory_uses.push_back({each.upstream, each.tokens});
+    }
     json soft_state = json::array();
     for (const auto& each : items) {
         soft_state.push_back({each.kind, each.key, each.value, each.lifetime.count()});
@@ -235,7 +239,7 @@
                            limits,
                            encode_prompt_parts(report.prompt_parts),
                            encode_usage(report.usage),
-                           json::array(), // Speeds of engines.
+                           std::move(memory_uses),
                            std::move(outcomes),
                            encode_ended_processes(report.ended_processes)};
     std::string bytes;
@@ -290,6 +294,9 @@
         }
         report.prompt_parts = decode_prompt_parts(document.at(14));
         report.usage = decode_usage(document.at(15));
+        for (const auto& each : document.at(16)) {
+            report.memory_uses.push_back({each.at(0).get<std::string>(), each.at(1).get<std::uint32_t>()});
+        }
         report.outcomes = decode_outcomes(document.at(17));
         report.ended_processes = decode_ended_processes(document.at(18));
         for (const auto& each : document.at(7)) {
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -8,8 +8,10 @@
 
 /// Step tolerance of generations whose route limits no gap.
 constexpr duration default_step_tolerance = seconds(10);
-/// Running requests use most of an engine's memory under load; cached parts have the rest.
-constexpr std::uint64_t cache_share_divisor = 3;
+/// Part of an engine's memory whose use the daemons know; the rest is for the outputs that exceed their
+/// estimates, for lost reports and for memory blocks that are partly used. An engine whose cache is
+/// overestimated reads parts again that could have been copied, which costs more than a needless copy.
+constexpr std::uint64_t known_memory_percent = 70;
 /// Keeps a report within a datagram.
 constexpr std::size_t max_reported_placements = 40;
 /// One in this many reports contains engine speeds: every few seconds in a large fleet, more than once a
@@ -49,7 +51,7 @@
     demands.insert(demands.end(), configured_kinds_.begin(), configured_kinds_.end());
     for (const auto& [name, each] : table.services()) {
         if (each.engine) {
-            caches_.set_capacity(each.engine->memory_tokens / cache_share_divisor);
+            caches_.set_capacity(each.engine->memory_tokens * known_memory_percent / 100);
             partitions_[name].update(directory.usable(name, now), demands, chunk_step(name));
         }
     }
@@ -196,6 +198,10 @@
         request.expected_start + speed(request.service).prefill_time(request.sent_choice.first_read);
     const auto ready_in =
         generation_times_.expected_time(request.service, request.step_tolerance, expected, 0);
+    const memory_use use{request.upstream->id,
+                         request.prompt.own_tokens() + request.prompt.expected_output()};
+    caches_.used(use, now);
+    unreported_memory_[use.upstream] += use.tokens;
     for (const auto& part : request.prompt.shared_parts()) {
         part_placement placement{request.upstream->id, part.id, part.tokens, ready_in};
         caches_.placed(placement, now);
@@ -244,6 +250,24 @@
     return std::exchange(unreported_, {});
 }
 
+void generation_placement::memory_used_by_others(std::span<const memory_use> uses, time_point now)
+{
+    for (const auto& each : uses) {
+        caches_.used(each, now);
+    }
+}
+
+std::vector<memory_use> generation_placement::take_memory_uses()
+{
+    std::vector<memory_use> result;
+    for (auto each = unreported_memory_.begin();
+         each != unreported_memory_.end() && result.size() < max_reported_placements;) {
+        result.push_back({each->first, each->second});
+        each = unreported_memory_.erase(each);
+    }
+    return result;
+}
+
 const engine_partition* generation_placement::partition(std::string_view service) const
 {
     const auto found = partitions_.find(service);
--- a/routing/generation_placement.h
+++ b/routing/generation_placement.h
@@ -75,6 +75,9 @@
     std::vector<stream_demand> demands(time_point now) { return demand_.demands(now); }
     /// Placements since the last call, limited to what fits in a report.
     std::vector<part_placement> take_placements();
+    void memory_used_by_others(std::span<const memory_use> uses, time_point now);
+    /// What this daemon's requests used since the last calls, limited to what fits in a report.
+    std::vector<memory_use> take_memory_uses();
     const prompt_cache_view& caches() const { return caches_; }
     /// nullptr for a service without engines.
     const engine_partition* partition(std::string_view service) const;
@@ -102,6 +105,7 @@
     /// Shortest step tolerance of any kind; nothing if all kinds are equal.
     std::optional<duration> shortest_gap_;
     std::vector<part_placement> unreported_;
+    std::map<std::string, std::uint32_t> unreported_memory_; ///< Tokens by engine.
     std::map<std::string, engine_partition, std::less<>> partitions_;
     std::map<std::string, urgency_scale, std::less<>> urgency_scales_; ///< By service.
 };
--- a/routing/load_tracker.h
+++ b/routing/load_tracker.h
@@ -57,6 +57,7 @@
     std::vector<part_placement> placements; ///< Since the previous report.
     duration next_in{0}; ///< Time until the daemon's next report; larger fleets report less often.
     std::vector<service_speed> speeds{};          ///< Included in some of the reports only.
+    std::vector<memory_use> memory_uses{};        ///< At engines, since the previous report.
     std::vector<leave_notice> leave_notices{};    ///< Listed upstreams that announced that they are leaving.
     std::vector<limit_statement> limits{};        ///< Rate limits that upstreams named.
     prompt_part_statements prompt_parts{};        ///< Parts that crash upstreams.
--- a/routing/placement_rule.h
+++ b/routing/placement_rule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "affinity/prefix_supply.h"
 #include "core/time.h"
 
 #include <array>
@@ -21,11 +22,8 @@
     /// Cost of placing a session on a further engine, in addition to reading its prompt there: the parts are
     /// read again and evict others from that engine's cache.
     duration further_engine_cost{milliseconds(400)};
-    /// Reading a part again also delays other requests, so it counts more than its own time.
-    double reread_weight{4.0};
-    /// Weight of copying a part from another engine, relative to reading it. A copy evicts other parts and
-    /// uses the links of both engines, so it must save a significant amount of time.
-    double copy_weight{1.0};
+    /// How reading missing parts and copying them are weighed against waiting at an engine that has them.
+    prefix_weights prefix;
     /// Time that a running stream adds to each token of the others, over a response of usual length.
     duration cost_per_stream{microseconds(1500)};
     /// Cost of reading a prompt between the tokens of streams that tolerate the shortest gaps, per such
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -17,11 +17,31 @@
     holders_[placement.part].push_back(placement.upstream);
     cache.by_part[placement.part] = cache.recent.begin();
     cache.tokens += placement.tokens;
+    evict(cache, placement.upstream);
+}
+
+void prompt_cache_view::used(const memory_use& use, time_point now)
+{
+    auto& cache = engines_[use.upstream];
+    cache.tokens += use.tokens;
+    auto& recent = cache.recent;
+    if (!recent.empty() && recent.front().part == unshared && now - recent.front().used < unshared_interval) {
+        recent.front().tokens += use.tokens;
+    } else {
+        recent.push_front({unshared, use.tokens, now, now});
+    }
+    evict(cache, use.upstream);
+}
+
+void prompt_cache_view::evict(engine_cache& cache, const std::string& upstream)
+{
     while (cache.tokens > capacity_ && cache.recent.size() > 1) {
         const auto& oldest = cache.recent.back();
         cache.tokens -= oldest.tokens;
-        forget_holder(oldest.part, placement.upstream);
-        cache.by_part.erase(oldest.part);
+        if (oldest.part != unshared) {
+            forget_holder(oldest.part, upstream);
+            cache.by_part.erase(oldest.part);
+        }
         cache.recent.pop_back();
     }
 }
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -22,15 +22,25 @@
     bool operator==(const part_placement&) const = default;
 };
 
+/// Tokens that requests brought into an engine's memory and that no other request shares: the ends of their
+/// prompts, and their outputs.
+struct memory_use {
+    std::string upstream;
+    std::uint32_t tokens{0};
+    bool operator==(const memory_use&) const = default;
+};
+
 /// Estimates the contents of the engines' prompt caches from the placements of all daemons: the parts that
 /// were sent to an engine, with LRU eviction. No reports of the engines are needed, which arrive late and
 /// with gaps. A wrong estimate costs reading a part again.
 class prompt_cache_view {
 public:
-    /// \param part_tokens maximum number of cached tokens assumed per engine.
-    void set_capacity(std::uint64_t part_tokens) { capacity_ = part_tokens; }
+    /// \param tokens of an engine's memory, which running requests and cached parts share.
+    void set_capacity(std::uint64_t tokens) { capacity_ = tokens; }
 
     void placed(const part_placement& placement, time_point now);
+    /// An engine keeps these tokens like any shared part until it evicts them.
+    void used(const memory_use& use, time_point now);
     /// The engine has read these parts.
     void was_read(std::string_view upstream, std::span<const prompt_part> parts, time_point now);
     /// Removes those of the parts that the engine has not read yet.
@@ -47,6 +57,10 @@
     void expire(time_point now);
 
 private:
+    /// Tokens that no other request shares are recorded together if they were used within this time.
+    static constexpr duration unshared_interval = milliseconds(250);
+    /// Id of the entries for such tokens.
+    static constexpr std::uint64_t unshared = 0;
     /// A part that was not used for this long may have been evicted in favour of running requests.
     static constexpr duration entry_lifetime = seconds(40);
     static constexpr std::uint64_t default_capacity = 100000;
@@ -69,6 +83,8 @@
     /// The part if it is probably still cached; nullptr otherwise.
     static const held_part* find_held(const engine_cache& cache, std::uint64_t part, time_point now);
     void forget_holder(std::uint64_t part, const std::string& upstream);
+    /// Evicts the least recently used parts of an engine that exceeds its memory.
+    void evict(engine_cache& cache, const std::string& upstream);
 
     std::uint64_t capacity_{default_capacity};
     std::unordered_map<std::uint64_t, std::vector<std::string>> holders_; ///< Engines by part.
--- a/routing/request_router_fleet.cpp
+++ b/routing/request_router_fleet.cpp
@@ -38,6 +38,7 @@
 void request_router::on(const load_reported& event)
 {
     placement_.placed_by_other(event.report.placements, now_);
+    placement_.memory_used_by_others(event.report.memory_uses, now_);
     placement_.merge_speeds(event.report.speeds);
     load_.on_report(event.report, now_);
     health_.on_report(event.report.daemon, event.report.outcomes, now_);
@@ -138,6 +139,7 @@
     result.prompt_parts = prompt_parts_.next_statements(now);
     result.demands = placement_.demands(now);
     result.placements = placement_.take_placements();
+    result.memory_uses = placement_.take_memory_uses();
     result.speeds = placement_.take_speeds();
     result.outcomes = outcome_statements(now);
     return result;
--- a/routing/upstream_choice.cpp
+++ b/routing/upstream_choice.cpp
@@ -1,5 +1,6 @@
 #include "routing/upstream_choice.h"
 
+#include "affinity/prefix_supply.h"
 #include "core/digest.h"
 #include "routing/scaled_duration.h"
 
@@ -50,27 +51,17 @@
 /// A copy between availability zones takes this many times as long as one within a zone.
 constexpr double zone_copy_factor = 2;
 
-/// Cost of bringing the shared parts that an engine lacks into its cache.
-struct part_supply {
-    duration cost{0};
-    std::uint32_t read{0}; ///< Tokens that the engine reads.
-    bool copies{false};
-};
-
-part_supply cheapest_supply(std::uint32_t missing, const upstream_record& engine, const part_source& source,
-                            const choice_view& view, const prompt_affinity& weights)
+/// How the engine gets the shared parts that it lacks.
+prefix_supply supply_of(std::uint32_t missing, const upstream_record& engine, const upstream_load& load,
+                        const part_source& source, const choice_view& view, const prefix_weights& weights)
 {
-    const auto& speed = view.speed;
-    const part_supply by_reading{scaled(speed.prefill_time(missing), weights.reread_weight), missing, false};
-    if (!source.engine || source.engine->id == engine.id || missing <= source.lacking) {
-        return by_reading;
+    missing_prefix prefix{missing, load.in_flight, view.speed.prompt_tokens_per_ms};
+    if (source.engine && source.engine->id != engine.id) {
+        prefix.lacking_at_source = source.lacking;
+        prefix.copied_tokens_per_ms =
+            source.tokens_per_ms / (source.engine->zone == engine.zone ? 1 : zone_copy_factor);
     }
-    const auto copied = missing - source.lacking;
-    const double distance = source.engine->zone == engine.zone ? 1 : zone_copy_factor;
-    const auto cost = scaled(milliseconds(1), copied * distance / source.tokens_per_ms) +
-                      scaled(speed.prefill_time(copied), weights.copy_weight) +
-                      scaled(speed.prefill_time(source.lacking), weights.reread_weight);
-    return cost < by_reading.cost ? part_supply{cost, source.lacking, true} : by_reading;
+    return cheapest_prefix_supply(prefix, weights);
 }
 
 duration disturbance(const upstream_load& load, std::uint32_t tokens, const choice_view& view,
@@ -118,7 +109,7 @@
     const auto* session = prompt.session();
     const auto load = view.load.at(engine->id);
     const auto lacking = view.caches.missing_tokens(engine->id, prompt, view.now);
-    const auto supply = cheapest_supply(lacking, *engine, source, view, weights);
+    const auto supply = supply_of(lacking, *engine, load, source, view, weights.prefix);
     // The owner is where the session is cached, so if no engine has the missing parts, reading them there
     // costs nothing extra.
     const bool is_owner = session == nullptr || rank == 0;
--- a/simulation/simulation_plan.cpp
+++ b/simulation/simulation_plan.cpp
@@ -127,7 +127,9 @@
     weights.session_engines = small_count(reader, "session_engines", most_engines,
                                           static_cast<std::uint32_t>(weights.session_engines));
     weights.further_engine_cost = read_ms(reader, "further_engine_ms", weights.further_engine_cost);
-    weights.reread_weight = reader.number("reread_weight", 0, 1000, weights.reread_weight);
+    weights.prefix.reread_weight = reader.number("reread_weight", 0, 1000, weights.prefix.reread_weight);
+    weights.prefix.delay_share = reader.number("delay_share", 0, 1000, weights.prefix.delay_share);
+    weights.prefix.copy_weight = reader.number("copy_weight", 0, 1000, weights.prefix.copy_weight);
     weights.disturbance_cost = read_ms(reader, "disturbance_ms", weights.disturbance_cost);
     weights.cost_per_stream = read_ms(reader, "ms_per_stream", weights.cost_per_stream);
     weights.full_engine_cost = read_ms(reader, "full_engine_ms", weights.full_engine_cost);
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -54,6 +54,7 @@
                        {{"u", 77, 300, milliseconds(250)}},
                        seconds(2)};
     report.speeds = {{"s", {56.5, milliseconds(4), 200}}};
+    report.memory_uses = {{"u", 3170}};
     report.prompt_parts.crashes = {
         {"u", 12, milliseconds(300), {{milliseconds(20), {1, 0xfedcba9876543210}}}}};
     report.prompt_parts.quarantined = {{7, seconds(3), {7, 8}}};
@@ -75,6 +76,7 @@
     BOOST_TEST(back.value().report.sequence == 4U);
     BOOST_TEST((back.value().report.loads == report.loads));
     BOOST_TEST((back.value().report.placements == report.placements));
+    BOOST_TEST((back.value().report.memory_uses == report.memory_uses));
     BOOST_TEST((back.value().report.speeds == report.speeds));
     BOOST_TEST((back.value().report.next_in == seconds(2)));
     BOOST_TEST((back.value().report.prompt_parts == report.prompt_parts));
--- a/tests/routing/test_placement.cpp
+++ b/tests/routing/test_placement.cpp
@@ -115,6 +115,37 @@
     BOOST_TEST(caches.missing_tokens("e1", prompt, start + milliseconds(20)) == 3000U);
 }
 
+// With a constant part of the memory for shared parts, engines were believed to hold sessions that the
+// requests since had pushed out, and read them again instead of copying them.
+BOOST_AUTO_TEST_CASE(lose_parts_to_what_requests_use_alone)
+{
+    prompt_cache_view caches;
+    caches.set_capacity(10000);
+    const auto prompt = prompt_of(42);
+    caches.placed({"e1", 1, 2000}, start);
+    caches.placed({"e1", 42, 3000}, start);
+    caches.used({"e1", 4000}, start + seconds(1));
+    BOOST_TEST(caches.missing_tokens("e1", prompt, start + seconds(1)) == 0U);
+    BOOST_TEST_CONTEXT("the least recently used part first")
+    {
+        caches.placed({"e1", 42, 3000}, start + seconds(2));
+        caches.used({"e1", 1500}, start + seconds(2));
+        BOOST_TEST(caches.missing_tokens("e1", prompt, start + seconds(2)) == 5000U);
+        caches.placed({"e1", 1, 2000}, start + seconds(3));
+        BOOST_TEST(caches.missing_tokens("e1", prompt, start + seconds(3)) == 0U);
+    }
+    BOOST_TEST_CONTEXT("the tokens of requests are evicted in their turn, too")
+    {
+        for (int second = 4; second < 10; ++second) {
+            const auto now = start + seconds(second);
+            caches.placed({"e1", 1, 2000}, now);
+            caches.placed({"e1", 42, 3000}, now);
+            caches.used({"e1", 4000}, now);
+            BOOST_TEST(caches.missing_tokens("e1", prompt, now) == 0U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(expire_with_evicted_parts_and_idle_engines)
 {
     prompt_cache_view caches;
@@ -133,6 +164,36 @@
 
 BOOST_AUTO_TEST_SUITE(the_choice_of_an_engine)
 
+// Guards against sessions that leave a busy engine for one that reads their prompt beside many others, and
+// against idle engines that stay idle.
+BOOST_FIXTURE_TEST_CASE(weighs_the_wait_at_the_holder_against_reading_elsewhere, two_engines)
+{
+    const auto holder = choose().upstream;
+    const auto other = other_than(holder);
+    for (const auto& part : prompt.shared_parts()) {
+        caches.placed({holder->id, part.id, part.tokens}, start);
+    }
+    now = start + seconds(1);
+    load.add(holder->id, 10000, false); // 250 ms of reading.
+    BOOST_TEST(choose().upstream == holder);
+    load.add(holder->id, 20000, false); // 750 ms together.
+    BOOST_TEST(choose().upstream == other);
+
+    BOOST_TEST_CONTEXT("a busy engine does not read what the holder has")
+    {
+        for (int request = 0; request < 20; ++request) {
+            load.add(other->id, 0, false);
+        }
+        BOOST_TEST(choose().upstream == holder);
+    }
+    BOOST_TEST_CONTEXT("a copy delays nobody there")
+    {
+        const auto choice = choose({holder, 0, fast_link});
+        BOOST_TEST(choice.upstream == other);
+        BOOST_TEST(choice.copy_from == holder);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(copies_cached_parts_when_that_is_cheaper, two_engines)
 {
     const auto owner = choose().upstream;
--- a/tests/simulation/test_simulation.cpp
+++ b/tests/simulation/test_simulation.cpp
@@ -283,6 +283,48 @@
     }
 }
 
+// A burst of short streams had taken half of the engines, and kept them for seconds after its end while long
+// prompts were refused. The kinds of prompts and the engines are those of a deployment with 53 engines, at a
+// third of its size.
+BOOST_AUTO_TEST_CASE(serves_a_burst_of_long_prompts_after_one_of_short_streams)
+{
+    const auto plan = simulation_plan_from_text(R"({
+        "name": "bursts", "run_s": 16, "zones": 3, "routers": 10, "engines": 18,
+        "engine": {"slots": 128, "queue": 384, "memory_tokens": 320000, "tokens_per_event": 5, "step_ms": 4.4,
+                   "prompt_tokens_per_ms": 70, "copied_tokens_per_ms": 500},
+        "kinds": [
+            {"name": "long", "requests_per_second": 60, "priority": 2, "objective_ms": 1500, "max_gap_ms": 800,
+             "deadline_ms": 5000, "worth": 2.8, "late_worth": 0.3,
+             "levels": [{"parts": 4, "tokens": {"mean": 2500, "sigma": 0.4, "most": 6300}},
+                        {"parts": 400, "tokens": {"mean": 3800, "sigma": 0.7, "most": 11300}}],
+             "prompt_tokens": {"mean": 2900, "sigma": 1, "most": 40000}, "events": {"mean": 10, "sigma": 1, "most": 42}},
+            {"name": "middle", "requests_per_second": 110, "priority": 1, "objective_ms": 500, "max_gap_ms": 300,
+             "deadline_ms": 3000, "worth": 2.1, "late_worth": 0.2,
+             "levels": [{"parts": 80, "tokens": {"mean": 340, "sigma": 0.4, "most": 850}}],
+             "prompt_tokens": {"mean": 1800, "sigma": 1.3, "most": 6900}, "events": {"mean": 5, "sigma": 1, "most": 18}},
+            {"name": "short", "requests_per_second": 55, "priority": 0, "objective_ms": 400, "max_gap_ms": 200,
+             "deadline_ms": 15000, "worth": 1.5, "late_worth": 0.05,
+             "levels": [{"parts": 16, "tokens": {"mean": 100, "sigma": 0.4, "most": 260}}],
+             "prompt_tokens": {"mean": 540, "sigma": 0.9, "most": 2300}, "events": {"mean": 56, "sigma": 0.7, "most": 177}}],
+        "swells": [{"kind": "short", "from_ms": 5000, "to_ms": 8000, "factor": 4},
+                   {"kind": "long", "from_ms": 7500, "to_ms": 11000, "factor": 2.5}]})");
+    BOOST_REQUIRE(plan.has_value());
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        const auto result = simulated_fleet(plan.value(), {"prompt_affinity", prompt_affinity{}}, seed).run();
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            for (const auto& kind : result.kinds) {
+                BOOST_TEST_MESSAGE(kind.name << " offered " << kind.offered << " on time " << kind.on_time
+                                             << " late " << kind.late << " refused " << kind.refused
+                                             << " failed " << kind.failed << " read again "
+                                             << result.tokens_reread);
+                // The share that the operators of such a deployment ask for on their heaviest days.
+                BOOST_TEST((kind.on_time + kind.late) * 10 >= kind.offered * 9);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_reported_as_a_table_json_and_a_plot)
 {
     const auto plan = plan_with_rate("5");
