Memory use: bounded, largest sums first, no reserved part id; sizes of sections in smaller steps

Cause: found when the change was read again. A part with the id 0 shared the mark of unshared tokens and would have left a dangling entry after its eviction; a sum above the engine's memory never left the view; engines late in the order of names were left out of the reports of daemons that use more than 40.

Change: unshared tokens have no id, sums are bounded by the memory, the largest sums are reported first. section_sizes is split.

--- a/capacity/section_sizes.cpp
+++ b/capacity/section_sizes.cpp
@@ -12,8 +12,25 @@
 /// Utilization of an engine up to which its streams stay on time.
 constexpr double target_utilization = 0.85;
 
-std::vector<double> in_proportion(std::span<const double> wanted, double total, double spare)
+std::vector<double> wanted_by(std::span<const section_demand> demands, bool only_recent)
 {
+    std::vector<double> wanted;
+    wanted.reserve(demands.size());
+    for (const auto& each : demands) {
+        const double work = only_recent ? each.recent_work : std::max(each.work, each.recent_work);
+        wanted.push_back(std::max(work, min_demand));
+    }
+    return wanted;
+}
+
+double sum_of(std::span<const double> values)
+{
+    return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+std::vector<double> in_proportion(std::span<const double> wanted, double spare)
+{
+    const double total = sum_of(wanted);
     std::vector<double> sizes;
     sizes.reserve(wanted.size());
     for (const double each : wanted) {
@@ -22,38 +39,36 @@
     return sizes;
 }
 
-} // namespace
-
-std::vector<double> section_sizes(std::span<const section_demand> demands, double engines)
+std::vector<double> most_urgent_first(std::span<const section_demand> demands, std::span<const double> wanted,
+                                      double spare)
 {
-    const double spare = std::max(0.0, engines - static_cast<double>(demands.size()));
-    std::vector<double> wanted;
-    const auto fits = [&](auto work_of) {
-        wanted.clear();
-        for (const auto& each : demands) {
-            wanted.push_back(std::max(work_of(each), min_demand));
-        }
-        return std::accumulate(wanted.begin(), wanted.end(), 0.0) / target_utilization <= engines;
-    };
-    const bool suffice =
-        fits([](const section_demand& each) { return std::max(each.work, each.recent_work); }) ||
-        fits([](const section_demand& each) { return each.recent_work; });
-    if (suffice) {
-        return in_proportion(wanted, std::accumulate(wanted.begin(), wanted.end(), 0.0), spare);
-    }
     std::vector<std::pair<std::uint8_t, std::size_t>> by_urgency;
     for (std::size_t i = 0; i < demands.size(); ++i) {
         by_urgency.emplace_back(demands[i].urgency, i);
     }
     std::sort(by_urgency.begin(), by_urgency.end());
     std::vector<double> sizes(demands.size(), 1.0);
-    double left = spare;
     for (const auto& [urgency, i] : by_urgency) {
-        const double more = std::min(left, std::max(0.0, wanted[i] / target_utilization - 1));
+        const double more = std::min(spare, std::max(0.0, wanted[i] / target_utilization - 1));
         sizes[i] += more;
-        left -= more;
+        spare -= more;
     }
     return sizes;
 }
 
+} // namespace
+
+std::vector<double> section_sizes(std::span<const section_demand> demands, std::size_t engines)
+{
+    const double spare = static_cast<double>(engines - demands.size());
+    std::vector<double> wanted;
+    for (const bool only_recent : {false, true}) {
+        wanted = wanted_by(demands, only_recent);
+        if (sum_of(wanted) / target_utilization <= static_cast<double>(engines)) {
+            return in_proportion(wanted, spare);
+        }
+    }
+    return most_urgent_first(demands, wanted, spare);
+}
+
 } // namespace clementinegap
--- a/capacity/section_sizes.h
+++ b/capacity/section_sizes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -18,9 +19,10 @@
 /// Divides the engines among sections. While the engines suffice for the demand of the last few seconds, each
 /// section gets a part in proportion to it. If they do not, the demand of the last second counts instead,
 /// since engines that are reserved for a burst that has ended would be missing elsewhere. If they do not
-/// suffice for that either, the more urgent sections get what they need first. \param engines their number,
-/// or the sum of their relative speeds. \returns the size of each section in the same unit, at least one;
-/// there must be as many engines as sections.
-std::vector<double> section_sizes(std::span<const section_demand> demands, double engines);
+/// suffice for that either, the more urgent sections get what they need first.
+///
+/// \param engines there must be at least as many as sections.
+/// \returns the size of each section in engines, at least one.
+std::vector<double> section_sizes(std::span<const section_demand> demands, std::size_t engines);
 
 } // namespace clementinegap
--- a/routing/engine_partition.cpp
+++ b/routing/engine_partition.cpp
@@ -70,7 +70,7 @@
     for (const auto& each : groups) {
         group_demands.push_back(each.demand);
     }
-    const auto sizes = section_sizes(group_demands, static_cast<double>(engines_.size()));
+    const auto sizes = section_sizes(group_demands, engines_.size());
     const bool same_sections = sections_.size() == groups.size();
     std::vector<section> next;
     double boundary = 0;
--- a/routing/generation_placement.cpp
+++ b/routing/generation_placement.cpp
@@ -1,6 +1,8 @@
 #include "routing/generation_placement.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
 #include <utility>
 
 namespace clementinegap {
@@ -260,10 +262,16 @@
 std::vector<memory_use> generation_placement::take_memory_uses()
 {
     std::vector<memory_use> result;
-    for (auto each = unreported_memory_.begin();
-         each != unreported_memory_.end() && result.size() < max_reported_placements;) {
-        result.push_back({each->first, each->second});
-        each = unreported_memory_.erase(each);
+    for (const auto& [upstream, tokens] : unreported_memory_) {
+        result.push_back({upstream, tokens});
+    }
+    // What is left adds up, so that it is among the largest later.
+    const auto count = std::min(result.size(), max_reported_placements);
+    std::ranges::partial_sort(result, result.begin() + static_cast<std::ptrdiff_t>(count), std::greater{},
+                              &memory_use::tokens);
+    result.resize(count);
+    for (const auto& each : result) {
+        unreported_memory_.erase(each.upstream);
     }
     return result;
 }
--- a/routing/prompt_cache_view.cpp
+++ b/routing/prompt_cache_view.cpp
@@ -23,13 +23,17 @@
 void prompt_cache_view::used(const memory_use& use, time_point now)
 {
     auto& cache = engines_[use.upstream];
-    cache.tokens += use.tokens;
     auto& recent = cache.recent;
-    if (!recent.empty() && recent.front().part == unshared && now - recent.front().used < unshared_interval) {
-        recent.front().tokens += use.tokens;
+    const auto tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(use.tokens, capacity_));
+    const bool joins_last = !recent.empty() && !recent.front().part &&
+                            now - recent.front().used < unshared_interval &&
+                            recent.front().tokens + std::uint64_t{tokens} <= capacity_;
+    if (joins_last) {
+        recent.front().tokens += tokens;
     } else {
-        recent.push_front({unshared, use.tokens, now, now});
+        recent.push_front({std::nullopt, tokens, now, now});
     }
+    cache.tokens += tokens;
     evict(cache, use.upstream);
 }
 
@@ -38,9 +42,9 @@
     while (cache.tokens > capacity_ && cache.recent.size() > 1) {
         const auto& oldest = cache.recent.back();
         cache.tokens -= oldest.tokens;
-        if (oldest.part != unshared) {
-            forget_holder(oldest.part, upstream);
-            cache.by_part.erase(oldest.part);
+        if (oldest.part) {
+            forget_holder(*oldest.part, upstream);
+            cache.by_part.erase(*oldest.part);
         }
         cache.recent.pop_back();
     }
@@ -88,7 +92,9 @@
         return;
     }
     for (const auto& held : found->second.recent) {
-        forget_holder(held.part, found->first);
+        if (held.part) {
+            forget_holder(*held.part, found->first);
+        }
     }
     engines_.erase(found);
 }
--- a/routing/prompt_cache_view.h
+++ b/routing/prompt_cache_view.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,8 +60,6 @@
 private:
     /// Tokens that no other request shares are recorded together if they were used within this time.
     static constexpr duration unshared_interval = milliseconds(250);
-    /// Id of the entries for such tokens.
-    static constexpr std::uint64_t unshared = 0;
     /// A part that was not used for this long may have been evicted in favour of running requests.
     static constexpr duration entry_lifetime = seconds(40);
     static constexpr std::uint64_t default_capacity = 100000;
@@ -69,7 +68,7 @@
     bool has_read(std::string_view upstream, std::span<const prompt_part> parts, time_point now) const;
 
     struct held_part {
-        std::uint64_t part{0};
+        std::optional<std::uint64_t> part; ///< Nothing: tokens that no other request shares.
         std::uint32_t tokens{0};
         time_point used;
         time_point read_at; ///< When the engine has probably read it.
--- a/tests/capacity/test_section_sizes.cpp
+++ b/tests/capacity/test_section_sizes.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double engines = 50;
+constexpr std::size_t engines = 50;
 
 } // namespace
 
@@ -18,7 +18,7 @@
 {
     const std::vector<section_demand> demands = {{4, 1, 0}, {12, 3, 1}};
     const auto sizes = section_sizes(demands, engines);
-    BOOST_TEST(sizes[0] + sizes[1] == engines, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(sizes[0] + sizes[1] == 50.0, boost::test_tools::tolerance(1e-9));
     BOOST_TEST(sizes[0] == 13.0, boost::test_tools::tolerance(1e-9));
 
     BOOST_TEST_CONTEXT("a burst of the last second counts at once")
--- a/tests/routing/test_placement.cpp
+++ b/tests/routing/test_placement.cpp
@@ -134,6 +134,17 @@
         caches.placed({"e1", 1, 2000}, start + seconds(3));
         BOOST_TEST(caches.missing_tokens("e1", prompt, start + seconds(3)) == 0U);
     }
+    BOOST_TEST_CONTEXT("a part whose id is zero is a part like any other")
+    {
+        caches.placed({"e2", 0, 100}, start);
+        caches.used({"e2", 9950}, start + seconds(1));
+        caches.used({"e2", UINT32_MAX}, start + seconds(2));
+        caches.placed({"e2", 0, 100}, start + seconds(3));
+        prompt_info first_part;
+        first_part.parts = {{0, 100}, {99, 10}};
+        BOOST_TEST(caches.missing_tokens("e2", first_part, start + seconds(3)) == 0U);
+        caches.forget("e2");
+    }
     BOOST_TEST_CONTEXT("the tokens of requests are evicted in their turn, too")
     {
         for (int second = 4; second < 10; ++second) {
