--- a/affinity/prefix_supply.h
+++ b/affinity/prefix_supply.h
@@ -16,6 +16,7 @@
     double copied_tokens_per_ms{0}; ///< Rate of a copy from there; 0: there is none.
 };
 
+/// What reading and copying cost beyond the caller's own wait.
 struct prefix_weights {
     /// Weight of the reading time at an idle engine: the parts that are read evict others from its cache.
     double reread_weight{4.0};
--- a/tests/routing/test_limits_of_fleet.cpp
+++ b/tests/routing/test_limits_of_fleet.cpp
@@ -328,8 +328,7 @@
 
 BOOST_AUTO_TEST_CASE(that_come_back_after_a_refusal)
 {
-    // One run refuses fewer than ten requests, so that a single one decides; the sum of several runs must
-    // hold.
+    // In one run 3 to 21 callers come back, so that a few of them decide; the sum of several runs must hold.
     constexpr std::uint32_t runs = 12;
     std::size_t returned = 0;
     std::size_t served = 0;
