--- a/router/event_splitter.cpp
+++ b/router/event_splitter.cpp
@@ -1,18 +1,26 @@
 #include "router/event_splitter.h"
 
+#include <algorithm>
+
 namespace clementinegap {
 
 std::string event_splitter::feed(std::string_view bytes)
 {
+    constexpr std::string_view lf_separator = "\n\n";
+    constexpr std::string_view crlf_separator = "\r\n\r\n";
+    // The incomplete event holds no separator; only its last bytes can be part of one. Searching all of it
+    // again for each piece would take quadratic time.
+    const auto searched_from = partial_.size() - std::min(partial_.size(), crlf_separator.size() - 1);
     partial_.append(bytes);
-    const auto lf_end = partial_.rfind("\n\n");
-    const auto crlf_end = partial_.rfind("\r\n\r\n");
+    const auto window = std::string_view(partial_).substr(searched_from);
+    const auto lf_at = window.rfind(lf_separator);
+    const auto crlf_at = window.rfind(crlf_separator);
     std::size_t end = 0;
-    if (lf_end != std::string::npos) {
-        end = lf_end + 2;
+    if (lf_at != std::string_view::npos) {
+        end = searched_from + lf_at + lf_separator.size();
     }
-    if (crlf_end != std::string::npos && crlf_end + 4 > end) {
-        end = crlf_end + 4;
+    if (crlf_at != std::string_view::npos) {
+        end = std::max(end, searched_from + crlf_at + crlf_separator.size());
     }
     if (end == 0) {
         return {};
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <ctime>
 #include <fcntl.h>
 #include <random>
 #include <regex>
@@ -39,6 +40,26 @@
     }
 }
 
+// Guards against a search of the whole incomplete event for each piece, which stopped the process for seconds.
+BOOST_AUTO_TEST_CASE(takes_little_time_for_an_endless_event_in_small_pieces)
+{
+    constexpr std::size_t event_bytes = std::size_t{1} << 20U;
+    // Requests beside it must not be held for longer than this after their timeout.
+    constexpr double longest_seconds = 0.5;
+    for (const std::size_t piece_bytes : {1, 12, 45, 200}) {
+        BOOST_TEST_CONTEXT(piece_bytes << " bytes a piece")
+        {
+            event_splitter splitter;
+            const std::string piece(piece_bytes, 'a');
+            const auto begin = std::clock();
+            while (splitter.partial_bytes() < event_bytes) {
+                splitter.feed(piece);
+            }
+            BOOST_TEST(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC < longest_seconds);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(reports_between_daemons)
