--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -66,22 +66,38 @@
     read_body();
 }
 
-bool http_server_connection::read_head()
+void http_server_connection::skip_empty_lines()
 {
     // RFC 9112 asks servers to ignore empty lines before a request.
-    while (pending_.starts_with("\r\n")) {
-        pending_.erase(0, 2);
+    constexpr std::string_view line_end = "\r\n";
+    const auto bytes = pending_.view();
+    std::size_t skipped = 0;
+    while (bytes.substr(skipped).starts_with(line_end)) {
+        skipped += line_end.size();
+    }
+    if (skipped > 0) {
+        pending_.consume(skipped);
+        searched_ = 0;
     }
-    const auto end = pending_.find(head_end);
-    const auto size = end == std::string::npos ? pending_.size() : end + head_end.size();
+}
+
+bool http_server_connection::read_head()
+{
+    skip_empty_lines();
+    // Bytes that were searched when they arrived are not searched again, however small the pieces are.
+    const auto end = pending_.view().find(head_end, searched_);
+    const bool is_complete = end != std::string_view::npos;
+    const auto size = is_complete ? end + head_end.size() : pending_.size();
     if (size > limits_.header_bytes) {
         refuse(431, "request head exceeds the size limit");
         return false;
     }
-    if (end == std::string::npos) {
+    if (!is_complete) {
+        searched_ = size - std::min(size, head_end.size() - 1);
         return false;
     }
-    const auto head_text = std::string_view(pending_).substr(0, size);
+    searched_ = 0;
+    const auto head_text = pending_.view().substr(0, size);
     if (const auto fault = head_fault(head_text); !fault.empty()) {
         refuse(400, fault);
         return false;
@@ -96,7 +112,7 @@
         refuse(400, reader_.problem());
         return false;
     }
-    pending_.erase(0, taken);
+    pending_.consume(taken);
     if (head_.content_length.value_or(0) > limits_.body_bytes) {
         refuse(413, "request body exceeds the size limit");
         return false;
@@ -116,7 +132,7 @@
         return;
     }
     if (reader_.status() == http_reader::state::reading && !pending_.empty()) {
-        pending_.erase(0, reader_.feed(pending_));
+        pending_.consume(reader_.feed(pending_.view()));
         due_ = event_loop::now() + limits_.header_timeout;
     }
     if (reader_.status() == http_reader::state::broken) {
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_reader.h"
+#include "net/input_buffer.h"
 #include "net/tcp_connection.h"
 
 #include <cstdint>
@@ -71,6 +72,7 @@
     void on_closed(close_cause cause) override;
     void on_written() override { handler_.on_written(*this); }
     void process_pending();
+    void skip_empty_lines();
     bool read_head();
     void count_held() { held_.resize(pending_.capacity() + body_.capacity()); }
     void read_body();
@@ -84,7 +86,8 @@
     server_limits limits_;
     http_reader reader_;
     http_head head_;
-    std::string pending_;
+    input_buffer pending_;
+    std::size_t searched_{0}; ///< Bytes of `pending_` in which no head ends.
     std::string body_;
     state state_{state::awaiting_head};
     bool too_large_{false};
--- /dev/null
+++ b/net/input_buffer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace clementinegap {
+
+/// Bytes that have been received and not yet consumed. Consuming them in small parts takes linear time.
+class input_buffer {
+public:
+    void append(std::string_view bytes) { bytes_.append(bytes); }
+    void consume(std::size_t count)
+    {
+        begin_ += count;
+        if (begin_ * 2 >= bytes_.size()) {
+            bytes_.erase(0, begin_);
+            begin_ = 0;
+        }
+    }
+    std::string_view view() const { return std::string_view(bytes_).substr(begin_); }
+    std::size_t size() const { return bytes_.size() - begin_; }
+    bool empty() const { return size() == 0; }
+    std::size_t capacity() const { return bytes_.capacity(); }
+
+private:
+    std::string bytes_;
+    std::size_t begin_{0}; ///< Of the bytes that have not been consumed.
+};
+
+} // namespace clementinegap
