--- a/routing/request_router.cpp
+++ b/routing/request_router.cpp
@@ -265,7 +265,7 @@
     if (event.fault == send_fault::unreachable) {
         --request.sends;
         ++request.unreachable;
-        process_ended(upstream->id);
+        process_ended(*upstream, end_evidence::likely);
         if (event.refused) {
             versions_.process_ended(upstream->id, upstream->incarnation, now_);
             crashed(*upstream);
@@ -273,11 +273,13 @@
                 partitions_outdated_ = true;
             }
         }
+    } else if (event.fault == send_fault::wrong_instance) {
+        process_ended(*upstream, end_evidence::certain);
     } else if (event.fault == send_fault::recalled) {
         --request.sends;
         request.tried.pop_back(); // Once the upstream accepts requests again, it may be used like any other.
     } else if (event.fault == send_fault::lost) {
-        crashes_.send_lost(upstream->id, request.fingerprint, now_);
+        crashes_.send_lost({upstream->id, upstream->incarnation}, request.fingerprint, now_);
         prompt_parts_.send_lost(*upstream, request.prompt, request.sent_at, request.streamed_for(now_), now_);
     }
     if (!certainly_not_run(event.fault)) {
--- a/routing/request_router.h
+++ b/routing/request_router.h
@@ -192,7 +192,23 @@
     void publish_suspicion(soft_state_item item);
     /// Publishes the suspicions again, for a daemon that has just started.
     void brief_newcomer();
-    void process_ended(std::string_view upstream);
+    enum class end_evidence : std::uint8_t {
+        likely,  ///< No connection could be made.
+        certain, ///< The directory no longer has it, or another process answers in its place.
+    };
+    /// The process of this upstream has ended.
+    void process_ended(const upstream_record& upstream, end_evidence evidence);
+    /// Suspects the requests that a process has lost last, unless it announced its end.
+    void attribute_end(const upstream_record& upstream, end_evidence evidence);
+    /// Publishes the suspicion of these requests.
+    void blame_losses(const upstream_process& ended, time_point by);
+    void blame_late_losses();
+    /// The directory has no entry of this process any more.
+    void entry_gone(const upstream_record& upstream);
+    /// Processes that ran at the address of one that has started since have ended.
+    void end_predecessors(const upstream_record& started);
+    /// Another daemon states that a process has ended.
+    void end_heard(std::string_view upstream, std::int64_t incarnation, duration age);
     /// The process of this upstream ended without having announced it.
     void crashed(const upstream_record& upstream);
     bool is_quarantined(const routed_request& request) const;
--- a/routing/request_router_crashes.cpp
+++ b/routing/request_router_crashes.cpp
@@ -11,13 +11,32 @@
 
 /// After this time a process has seen popular requests end well.
 constexpr duration first_good_ends = seconds(3);
+/// An end that another daemon has seen is attributed to losses noticed here up to this much later.
+constexpr duration report_slack = milliseconds(500);
 
 } // namespace
 
-void request_router::process_ended(std::string_view upstream)
+void request_router::process_ended(const upstream_record& upstream, end_evidence evidence)
 {
-    placement_.engine_process_ended(upstream);
-    auto items = crashes_.process_ended(upstream, now_);
+    placement_.engine_process_ended(upstream.id);
+    attribute_end(upstream, evidence);
+}
+
+void request_router::attribute_end(const upstream_record& upstream, end_evidence evidence)
+{
+    if (upstream.leaving || directory_.is_leaving(upstream)) {
+        return; // It ended in order, whatever it lost.
+    }
+    const upstream_process ended{upstream.id, upstream.incarnation};
+    if (evidence == end_evidence::certain) {
+        crashes_.remember_end(ended, now_);
+    }
+    blame_losses(ended, now_);
+}
+
+void request_router::blame_losses(const upstream_process& ended, time_point by)
+{
+    auto items = crashes_.process_ended(ended, by, now_);
     // Bystanders must not stay blamed across restarts. They are among several requests that were lost
     // together, and a process that has just started has seen none of them end well: those suspicions are not
     // recorded.
@@ -31,6 +50,39 @@
     }
 }
 
+void request_router::blame_late_losses()
+{
+    for (const auto& each : crashes_.noticed_late(now_)) {
+        blame_losses(each, now_);
+    }
+}
+
+void request_router::entry_gone(const upstream_record& upstream)
+{
+    attribute_end(upstream, end_evidence::certain);
+    crashed(upstream);
+}
+
+void request_router::end_predecessors(const upstream_record& started)
+{
+    for (const auto& each : directory_.all()) {
+        const bool is_other = each->id != started.id && each->address == started.address;
+        if (is_other && each->incarnation != 0 && each->incarnation < started.incarnation) {
+            entry_gone(*each);
+        }
+    }
+}
+
+void request_router::end_heard(std::string_view upstream, std::int64_t incarnation, duration age)
+{
+    versions_.process_ended(upstream, incarnation, now_ - age);
+    const auto listed = directory_.find(upstream);
+    const bool has_left = listed && (listed->leaving || directory_.is_leaving(*listed));
+    if (!has_left) {
+        blame_losses({std::string(upstream), incarnation}, now_ - age + report_slack);
+    }
+}
+
 void request_router::publish_suspicion(soft_state_item item)
 {
     suspicion_record_.observed(item, now_);
--- a/routing/request_router_fleet.cpp
+++ b/routing/request_router_fleet.cpp
@@ -57,7 +57,7 @@
     }
     for (const auto& each : event.report.ended_processes) {
         partitions_outdated_ = directory_.add_ended_process(each, now_) || partitions_outdated_;
-        versions_.process_ended(each.upstream, each.incarnation, now_ - each.age);
+        end_heard(each.upstream, each.incarnation, each.age);
     }
     members_.on_report(event.report.daemon, event.report.next_in, now_);
     for (const auto& each : event.report.limits) {
@@ -67,7 +67,7 @@
     }
     update_shares();
     for (const auto& each : event.report.prompt_parts.crashes) {
-        versions_.process_ended(each.upstream, each.incarnation, now_ - each.age);
+        end_heard(each.upstream, each.incarnation, each.age);
     }
     prompt_parts_.on_report(event.report.prompt_parts, event.report.next_in, now_);
 }
@@ -85,10 +85,13 @@
 {
     load_.expire(now_);
     health_.expire(now_);
+    blame_late_losses();
     crashes_.expire(now_);
     prompt_parts_.update(now_);
     placement_.expire(now_);
-    directory_.expire(now_);
+    for (const auto& each : directory_.expire(now_)) {
+        entry_gone(*each);
+    }
     for (const auto& each : directory_.all()) {
         versions_.listed(*each, now_);
     }
--- a/routing/request_router_upstreams.cpp
+++ b/routing/request_router_upstreams.cpp
@@ -22,13 +22,16 @@
     limits_.listed(event.record.id);
     const auto before = directory_.find(event.record.id);
     if (before && before->incarnation != event.record.incarnation) {
-        process_ended(event.record.id);
+        process_ended(*before, end_evidence::certain);
         health_.process_ended(event.record.id);
         crashed(*before);
         if (before->software_version != event.record.software_version) {
             upstream_changed_version(event.record);
         }
     }
+    if (!before) {
+        end_predecessors(event.record);
+    }
     const bool changed = directory_.put(event.record);
     versions_.listed(event.record, now_);
     if (event.record.leaving && event.record.incarnation != 0) {
@@ -47,7 +50,7 @@
 {
     const auto removed = directory_.find(event.id);
     if (removed && !directory_.may_be_restored(now_)) {
-        crashed(*removed);
+        entry_gone(*removed);
     }
     directory_.erase(event.id, now_);
     limits_.unlisted(event.id, now_);
@@ -73,7 +76,9 @@
         ids.push_back(each.id);
         on(upstream_listed{each});
     }
-    directory_.retain(ids, now_);
+    for (const auto& each : directory_.retain(ids, now_)) {
+        entry_gone(*each);
+    }
     await_suspicions();
     for (const auto& [upstream, limit] : limits_.current()) {
         if (std::ranges::find(ids, upstream) == ids.end()) {
--- a/routing/upstream_directory.cpp
+++ b/routing/upstream_directory.cpp
@@ -36,17 +36,19 @@
     found->second.drop_at = std::min(found->second.drop_at, returned_at + restore_grace);
 }
 
-void upstream_directory::retain(std::span<const std::string> ids, time_point now)
+std::vector<upstream_ptr> upstream_directory::retain(std::span<const std::string> ids, time_point now)
 {
-    std::vector<std::string> missing;
+    std::vector<upstream_ptr> missing;
     for (const auto& [id, entry] : upstreams_) {
         if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-            missing.push_back(id);
+            missing.push_back(entry.record);
         }
     }
-    for (const auto& id : missing) {
-        erase(id, now);
+    for (const auto& each : missing) {
+        erase(each->id, now);
     }
+    std::erase_if(missing, [&](const upstream_ptr& each) { return upstreams_.contains(each->id); });
+    return missing;
 }
 
 bool upstream_directory::was_removed(const upstream_record& upstream) const
@@ -83,12 +85,21 @@
     return leaving_.add(value, listed != nullptr && listed->incarnation == value.incarnation, now);
 }
 
-void upstream_directory::expire(time_point now)
+std::vector<upstream_ptr> upstream_directory::expire(time_point now)
 {
-    std::erase_if(upstreams_, [&](const auto& each) { return each.second.drop_at <= now; });
+    std::vector<upstream_ptr> dropped;
+    for (const auto& [id, entry] : upstreams_) {
+        if (entry.drop_at <= now) {
+            dropped.push_back(entry.record);
+        }
+    }
+    for (const auto& each : dropped) {
+        upstreams_.erase(upstreams_.find(each->id));
+    }
     std::erase_if(removed_, [&](const auto& each) { return now - each.second.at > removal_memory; });
     leaving_.expire(now);
     ended_.expire(now);
+    return dropped;
 }
 
 std::vector<upstream_ptr> upstream_directory::usable(std::string_view service, time_point now) const
--- a/routing/upstream_directory.h
+++ b/routing/upstream_directory.h
@@ -30,7 +30,8 @@
     /// An entry was removed.
     void erase(std::string_view id, time_point now);
     /// Applies a full listing: entries that are not among `ids` are removed.
-    void retain(std::span<const std::string> ids, time_point now);
+    /// \returns those that are gone for good.
+    std::vector<upstream_ptr> retain(std::span<const std::string> ids, time_point now);
     /// Whether this incarnation of the upstream was removed a while ago. A directory that comes back from an
     /// older copy lists it again.
     bool was_removed(const upstream_record& upstream) const;
@@ -65,7 +66,8 @@
     /// For the reports to other daemons.
     std::vector<ended_process> ended_processes_seen(time_point now) const { return ended_.statements(now); }
     /// Removes entries whose grace period has ended.
-    void expire(time_point now);
+    /// \returns them.
+    std::vector<upstream_ptr> expire(time_point now);
 
     /// Upstreams of `service` that are not leaving according to their entry or a notice and whose process has
     /// not ended, ordered by id.
--- a/tests/routing/router_fixture.cpp
+++ b/tests/routing/router_fixture.cpp
@@ -1,5 +1,7 @@
 #include "routing/router_fixture.h"
 
+#include "core/digest.h"
+
 #include <utility>
 
 namespace clementinegap::testing {
@@ -79,7 +81,8 @@
     upstream_record record;
     record.id = id;
     record.service = service;
-    record.address = {"10.0.0.1", 80};
+    // No two processes listen at one address at the same time.
+    record.address = {"10.0.0.1", static_cast<std::uint16_t>(1024 + hash64(id) % 60000)};
     record.zone = zone;
     record.slots = service == "llm" ? 64 : 6;
     record.incarnation = 1;
--- a/tests/routing/test_components.cpp
+++ b/tests/routing/test_components.cpp
@@ -316,15 +316,15 @@
     crash_watch watch;
     watch.ended_well("popular", start);
     for (const auto* upstream : {"u1", "u2", "u3"}) {
-        watch.send_lost(upstream, "popular", start + seconds(1));
-        watch.process_ended(upstream, start + seconds(1));
+        watch.send_lost({upstream}, "popular", start + seconds(1));
+        watch.process_ended({upstream}, start + seconds(1), start + seconds(1));
     }
     BOOST_TEST(!watch.is_quarantined("popular", start + seconds(2)));
     BOOST_TEST_CONTEXT("but it blames a request that was only ever lost")
     {
         for (const auto* upstream : {"u1", "u2"}) {
-            watch.send_lost(upstream, "poison", start + seconds(2));
-            watch.process_ended(upstream, start + seconds(2));
+            watch.send_lost({upstream}, "poison", start + seconds(2));
+            watch.process_ended({upstream}, start + seconds(2), start + seconds(2));
         }
         BOOST_TEST(watch.is_quarantined("poison", start + seconds(3)));
     }
@@ -333,8 +333,8 @@
         const auto later = start + seconds(100);
         watch.expire(later);
         for (const auto* upstream : {"u1", "u2"}) {
-            watch.send_lost(upstream, "popular", later);
-            watch.process_ended(upstream, later);
+            watch.send_lost({upstream}, "popular", later);
+            watch.process_ended({upstream}, later, later);
         }
         BOOST_TEST(watch.is_quarantined("popular", later));
     }
@@ -518,23 +518,23 @@
 {
     crash_watch crashes;
     for (int i = 0; i < 5; ++i) {
-        crashes.send_lost("u", "popular", start);
+        crashes.send_lost({"u"}, "popular", start);
     }
-    crashes.process_ended("u", start);
+    crashes.process_ended({"u"}, start, start);
     BOOST_TEST(!crashes.is_quarantined("popular", start));
-    crashes.send_lost("v", "popular", start + seconds(1));
-    crashes.process_ended("v", start + seconds(1));
+    crashes.send_lost({"v"}, "popular", start + seconds(1));
+    crashes.process_ended({"v"}, start + seconds(1), start + seconds(1));
     BOOST_TEST(crashes.is_quarantined("popular", start + seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(clears_a_suspicion_when_the_request_succeeds)
 {
     crash_watch crashes;
-    crashes.send_lost("u", "popular", start);
-    crashes.process_ended("u", start);
+    crashes.send_lost({"u"}, "popular", start);
+    crashes.process_ended({"u"}, start, start);
     crashes.ended_well("popular", start + milliseconds(100));
-    crashes.send_lost("v", "popular", start + seconds(1));
-    crashes.process_ended("v", start + seconds(1));
+    crashes.send_lost({"v"}, "popular", start + seconds(1));
+    crashes.process_ended({"v"}, start + seconds(1), start + seconds(1));
     BOOST_TEST(!crashes.is_quarantined("popular", start + seconds(1)));
 }
 
--- a/tests/routing/test_suspicions.cpp
+++ b/tests/routing/test_suspicions.cpp
@@ -234,8 +234,8 @@
     crash_watch here;
     crash_watch started;
     here.ended_well("popular", start);
-    started.send_lost("u", "popular", start + seconds(1));
-    const auto items = started.process_ended("u", start + seconds(1));
+    started.send_lost({"u"}, "popular", start + seconds(1));
+    const auto items = started.process_ended({"u"}, start + seconds(1), start + seconds(1));
     BOOST_REQUIRE(items.size() == 1U);
     here.on_item(items.front(), start + seconds(2));
     const auto withdrawal = here.refute(items.front(), start + seconds(2));
