--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -11,6 +11,7 @@
     uv_loop_init(&loop_);
     uv_timer_init(&loop_, &timer_);
     timer_.data = this;
+    deliveries_.begin(&loop_);
     // With SIGPIPE ignored, a write to a connection that the peer closed fails with an error code.
     std::signal(SIGPIPE, SIG_IGN);
 }
--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "net/byte_budget.h"
+#include "net/delivery_watch.h"
 
 #include <array>
 #include <cstddef>
@@ -40,6 +41,8 @@
     uv_buf_t read_buffer();
     /// The bytes that the connections of this loop hold.
     byte_budget& buffers() { return buffers_; }
+    /// The connections whose peers have yet to acknowledge bytes.
+    delivery_watch& deliveries() { return deliveries_; }
 
 private:
     static constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
@@ -50,6 +53,7 @@
     };
 
     byte_budget buffers_;
+    delivery_watch deliveries_{&event_loop::now};
     uv_loop_t loop_{};
     uv_timer_t timer_{};
     std::function<void()> wake_action_;
--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -212,7 +212,7 @@
     switch (state_) {
     case state::awaiting_head:
         if (pending_.empty()) {
-            set_closed();
+            close_or_wait(now, limits_.idle_timeout);
             return;
         }
         refuse(408, "request not received before the timeout");
@@ -221,11 +221,7 @@
         refuse(408, "request not received before the timeout");
         return;
     case state::closing:
-        if (tcp_.unwritten() > 0) {
-            due_ = now + close_timeout;
-            return;
-        }
-        set_closed();
+        close_or_wait(now, close_timeout);
         return;
     case state::handling:
     case state::closed:
@@ -233,6 +229,15 @@
     }
 }
 
+void http_server_connection::close_or_wait(time_point now, duration timeout)
+{
+    if (undelivered() > 0) {
+        due_ = now + timeout;
+        return;
+    }
+    set_closed();
+}
+
 void http_server_connection::on_closed(close_cause)
 {
     set_closed();
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -46,13 +46,15 @@
     /// before.
     void reset_unless_ended() { tcp_.reset_unless_ended(); }
     std::size_t unwritten() const { return tcp_.unwritten(); }
+    /// Bytes of responses that the client has not acknowledged.
+    std::size_t undelivered() const { return tcp_.undelivered(); }
     /// Ends the response. \param close whether to close the connection after it.
     void end_response(bool close);
     /// Resets the connection in the middle of a response, so that the client cannot mistake it for complete.
     void abort();
     void set_limits(server_limits limits) { limits_ = limits; }
-    /// Whether no request is being received or handled.
-    bool idle() const { return state_ == state::awaiting_head && pending_.empty(); }
+    /// Whether no request is being received or handled and the last response has been written.
+    bool idle() const { return state_ == state::awaiting_head && pending_.empty() && unwritten() == 0; }
     bool closed() const { return state_ == state::closed; }
     /// The time at which to call `on_due`.
     time_point due() const { return due_; }
@@ -65,7 +67,7 @@
 
     /// Limit of bytes read ahead of the current request; reading stops above it.
     static constexpr std::size_t read_ahead_bytes = std::size_t{64} * 1024;
-    /// Time for the client to close the connection after its last response has been written.
+    /// Time for the client to close the connection after it has received its last response.
     static constexpr duration close_timeout = seconds(1);
 
     void on_bytes(std::string_view bytes) override;
@@ -77,6 +79,8 @@
     void count_held() { held_.resize(pending_.capacity() + body_.capacity()); }
     void read_body();
     void refuse(int status, std::string_view text);
+    /// Closes the connection, or waits for the timeout once more if the client is still receiving a response.
+    void close_or_wait(time_point now, duration timeout);
     void set_closed();
 
     event_loop& loop_;
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -2,12 +2,21 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <linux/sockios.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
 namespace clementinegap {
 namespace {
 
 constexpr int listen_backlog = 1024;
+/// For systems that do not tell what has been acknowledged.
+constexpr int default_unacknowledged_timeout_ms = 3000;
 
 template <class option> void set_option(const uv_tcp_t& handle, int level, int name, const option& value)
 {
@@ -25,6 +34,42 @@
     set_option(handle, SOL_SOCKET, SO_LINGER, linger{resets ? 1 : 0, 0});
 }
 
+/// Bytes in the system's send queue that the peer has not acknowledged; nothing if the system does not tell.
+std::optional<std::size_t> system_queue_bytes(const uv_tcp_t& handle)
+{
+    uv_os_fd_t descriptor = -1;
+    int bytes = 0;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &descriptor) != 0 ||
+        ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(bytes);
+}
+
+std::optional<tcp_info> system_info(const uv_tcp_t& handle)
+{
+    uv_os_fd_t descriptor = -1;
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &descriptor) != 0 ||
+        getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        size < offsetof(tcp_info, tcpi_last_ack_recv) + sizeof info.tcpi_last_ack_recv) {
+        return std::nullopt;
+    }
+    return info;
+}
+
+/// Whether sent data or a window probe awaits an answer, and the peer's system has answered nothing in this
+/// time. Data that does not fit the peer's window has not been sent.
+bool is_silent(const uv_tcp_t& handle, duration time)
+{
+    const auto info = system_info(handle);
+    // Zero is not told from a system that does not keep it.
+    const bool has_answered =
+        info && info->tcpi_last_ack_recv > 0 && milliseconds(info->tcpi_last_ack_recv) < time;
+    return info && (info->tcpi_unacked > 0 || info->tcpi_probes > 0) && !has_answered;
+}
+
 /// Whether a connection that libuv reports as ended was reset. After a short read libuv reports a hang-up as
 /// end of stream without reading the socket, which hides a reset.
 bool was_reset(const uv_stream_t* stream)
@@ -69,6 +114,7 @@
     if (block_ == nullptr) {
         return;
     }
+    loop_.deliveries().remove(*this);
     auto* block = block_;
     block_ = nullptr;
     block->owner = nullptr;
@@ -124,7 +170,12 @@
     set_option(block_->handle, IPPROTO_TCP, TCP_KEEPIDLE, limits.probe_after_s);
     set_option(block_->handle, IPPROTO_TCP, TCP_KEEPINTVL, limits.probe_interval_s);
     set_option(block_->handle, IPPROTO_TCP, TCP_KEEPCNT, limits.probes);
-    set_option(block_->handle, IPPROTO_TCP, TCP_USER_TIMEOUT, limits.unacknowledged_timeout_ms);
+    static const bool tells_delivery = system_queue_bytes(block_->handle) && system_info(block_->handle);
+    is_delivery_watched_ = tells_delivery && !limits.unacknowledged_timeout_ms;
+    if (!is_delivery_watched_) {
+        const int timeout_ms = limits.unacknowledged_timeout_ms.value_or(default_unacknowledged_timeout_ms);
+        set_option(block_->handle, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+    }
 }
 
 void tcp_connection::start_reading()
@@ -159,6 +210,7 @@
         return;
     }
     closed_reported_ = true;
+    loop_.deliveries().remove(*this);
     if (reading_) {
         uv_read_stop(reinterpret_cast<uv_stream_t*>(&block_->handle));
         reading_ = false;
@@ -171,6 +223,10 @@
     if (bytes.empty() || closed_reported_) {
         return;
     }
+    written_bytes_ += bytes.size();
+    if (is_delivery_watched_) {
+        loop_.deliveries().add(*this);
+    }
     auto* stream = reinterpret_cast<uv_stream_t*>(&block_->handle);
     std::size_t written = 0;
     if (unwritten() == 0) {
@@ -245,6 +301,27 @@
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&block_->handle));
 }
 
+std::size_t tcp_connection::undelivered() const
+{
+    if (block_ == nullptr) {
+        return 0;
+    }
+    return unwritten() + system_queue_bytes(block_->handle).value_or(0);
+}
+
+bool tcp_connection::check_delivery(duration elapsed)
+{
+    // The system counts the end of the stream as another byte.
+    const auto outstanding = std::min<std::uint64_t>(undelivered(), written_bytes_);
+    const bool silent = outstanding > 0 && is_silent(block_->handle, elapsed);
+    if (delivery_.observe({written_bytes_ - outstanding, outstanding, silent}, elapsed)) {
+        reset_on_close_ = true;
+        report_closed(close_cause::reset);
+        return false;
+    }
+    return outstanding > 0;
+}
+
 void tcp_connection::pause(bool paused)
 {
     if (closed_reported_ || paused != reading_) {
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/time.h"
+#include "net/delivery_monitor.h"
 #include "net/event_loop.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,22 +32,25 @@
     virtual void on_written() {}
 };
 
-/// TCP keep-alive and user timeout options. A connection can fail without a reset, which only keep-alive
-/// probes detect.
+/// How the failure of a connection without a reset is detected. Idle connections are probed by TCP
+/// keep-alive.
 struct keepalive_limits {
     int probe_after_s{2};
     int probe_interval_s{1};
-    int probes{2};
-    int unacknowledged_timeout_ms{3000};
+    int probes{1};
+    /// Time in which the peer has to take what was written, for a peer that is known to read at once (TCP
+    /// user timeout). Without it, only peers that answer nothing or take nothing are given up
+    /// (`delivery_monitor`).
+    std::optional<int> unacknowledged_timeout_ms{};
 };
 
 /// A TCP connection; closed by the destructor.
-class tcp_connection {
+class tcp_connection final : private delivery_watch::member {
 public:
     tcp_connection(event_loop& loop, tcp_connection_events& events);
     tcp_connection(const tcp_connection&) = delete;
     tcp_connection& operator=(const tcp_connection&) = delete;
-    ~tcp_connection();
+    ~tcp_connection() override;
 
     /// Starts to connect; `on_connected` or `on_closed` follows. \returns false when it fails at once.
     bool connect(const std::string& ip, std::uint16_t port);
@@ -58,6 +63,8 @@
     void end_writing();
     /// Bytes queued for writing.
     std::size_t unwritten() const;
+    /// Bytes that the peer has not acknowledged, queued ones among them.
+    std::size_t undelivered() const;
     /// Stops or resumes reading, which applies backpressure to the peer.
     void pause(bool paused);
     /// Closes at once; no further events are reported and unwritten data is dropped.
@@ -75,6 +82,7 @@
     struct handle_block;
     struct write_block;
     void start_reading();
+    bool check_delivery(duration elapsed) override;
     void count_unwritten() { unwritten_bytes_.resize(unwritten()); }
     void report_closed(close_cause cause);
     static void on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer);
@@ -83,6 +91,9 @@
     tcp_connection_events& events_;
     handle_block* block_; ///< nullptr once closed.
     byte_reservation unwritten_bytes_;
+    delivery_monitor delivery_;
+    std::uint64_t written_bytes_{0}; ///< All that were passed to `write`.
+    bool is_delivery_watched_{false};
     bool reading_{false};
     bool reset_on_close_{false};
     bool closed_reported_{false};
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -103,7 +103,7 @@
         return;
     }
     if (auto* open = find(found->second.request)) {
-        open->caller_drained();
+        open->resume_reading();
     }
 }
 
@@ -218,6 +218,11 @@
     finished_exchanges_.clear();
     closed_connections_.clear();
     pool_.sweep(now);
+    // A caller that reads slowly may never have taken all that is queued, and an upstream that is not read
+    // for some seconds closes the connection.
+    for (const auto& [number, each] : exchanges_) {
+        each->resume_reading();
+    }
     std::vector<http_server_connection*> due;
     for (const auto& [connection, each] : callers_) {
         if (connection->due() <= now) {
@@ -232,15 +237,18 @@
 bool entry_gateway::close_idle()
 {
     std::vector<http_server_connection*> idle;
+    bool all_delivered = true;
     for (const auto& [connection, each] : callers_) {
-        if (connection->idle()) {
+        if (connection->undelivered() > 0) {
+            all_delivered = false;
+        } else if (connection->idle()) {
             idle.push_back(connection);
         }
     }
     for (auto* each : idle) {
         each->close_idle();
     }
-    return exchanges_.empty();
+    return exchanges_.empty() && all_delivered;
 }
 
 } // namespace clementinegap
--- a/router/entry_gateway.h
+++ b/router/entry_gateway.h
@@ -52,7 +52,8 @@
     void sweep(time_point now);
     /// From now on, every response closes its connection.
     void stop_accepting_work() { stopping_ = true; }
-    /// Closes idle caller connections. \returns whether no request is open.
+    /// Closes idle caller connections. \returns whether no request is open and the callers have received all
+    /// responses.
     bool close_idle();
     std::size_t open_requests() const { return exchanges_.size(); }
 
--- a/router/entry_process.cpp
+++ b/router/entry_process.cpp
@@ -301,8 +301,8 @@
     if (stop_started_at_ == never || now < stop_started_at_ + rotation_delay) {
         return;
     }
-    const bool no_open_requests = gateway_.close_idle();
-    if (no_open_requests || now >= stop_started_at_ + settings_.stop_grace - stop_margin / 2) {
+    const bool all_served = gateway_.close_idle();
+    if (all_served || now >= stop_started_at_ + settings_.stop_grace - stop_margin / 2) {
         if (duty_) {
             send_report(now); // The counts since the last report would be lost with this process.
         }
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -182,17 +182,21 @@
     apply_backpressure();
 }
 
+bool exchange::caller_is_behind() const
+{
+    return caller_ != nullptr && caller_->unwritten() > gateway_.buffers().queue_share();
+}
+
 void exchange::apply_backpressure()
 {
-    const auto limit = gateway_.buffers().is_exhausted() ? 0 : max_unwritten_bytes;
-    if (caller_ != nullptr && connection_ && caller_->unwritten() > limit) {
+    if (connection_ && caller_is_behind()) {
         connection_->pause(true);
     }
 }
 
-void exchange::caller_drained()
+void exchange::resume_reading()
 {
-    if (connection_) {
+    if (connection_ && !caller_is_behind()) {
         connection_->pause(false);
     }
 }
--- a/router/exchange.h
+++ b/router/exchange.h
@@ -45,8 +45,8 @@
     void abort_caller();
     /// The caller's connection has been closed.
     void caller_disconnected() { caller_ = nullptr; }
-    /// The bytes queued for the caller have been written: reading from the upstream resumes.
-    void caller_drained();
+    /// Reading from the upstream resumes if the caller has taken enough of what is queued for it.
+    void resume_reading();
 
 private:
     /// A response that is not a stream is buffered until it is complete, up to this size.
@@ -57,8 +57,6 @@
     static constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
     /// The same while the budget for buffered bytes is used up.
     static constexpr std::size_t max_event_bytes_without_room = std::size_t{128} * 1024;
-    /// While more bytes than this are queued for the caller, reading from the upstream is paused.
-    static constexpr std::size_t max_unwritten_bytes = std::size_t{256} * 1024;
 
     http_client_connection::head_verdict on_response_head(const http_head& head) override;
     void on_response_bytes(std::string_view bytes) override;
@@ -74,6 +72,7 @@
     void abort_invalid_response();
     /// Pauses reading from the upstream while the caller does not accept data.
     void apply_backpressure();
+    bool caller_is_behind() const;
     void forward_events(std::string events);
     void deliver_response();
     void finish(bool close);
