--- a/net/event_loop.cpp
+++ b/net/event_loop.cpp
@@ -12,6 +12,8 @@
     uv_timer_init(&loop_, &timer_);
     timer_.data = this;
     deliveries_.begin(&loop_);
+    uv_idle_init(&loop_, &idle_);
+    idle_.data = this;
     // With SIGPIPE ignored, a write to a connection that the peer closed fails with an error code.
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -88,6 +90,41 @@
     uv_run(&loop_, UV_RUN_DEFAULT);
 }
 
+void event_loop::forget(batched_output& output)
+{
+    std::erase(batched_, &output);
+}
+
+void event_loop::end_batch()
+{
+    if (open_batches_ == 1) {
+        // Flushing calls no handlers, so nothing is added or destroyed meanwhile.
+        for (auto* each : batched_) {
+            each->flush();
+        }
+        batched_.clear();
+    }
+    --open_batches_;
+}
+
+void event_loop::defer(deferred_work& work)
+{
+    deferred_.push_back(&work);
+    uv_idle_start(&idle_, [](uv_idle_t* handle) { static_cast<event_loop*>(handle->data)->run_deferred(); });
+}
+
+void event_loop::run_deferred()
+{
+    uv_idle_stop(&idle_);
+    const input_batch batch(*this);
+    // Work may be deferred again or forgotten meanwhile.
+    for (auto left = deferred_.size(); left > 0 && !deferred_.empty(); --left) {
+        auto* next = deferred_.front();
+        deferred_.erase(deferred_.begin());
+        next->go_on();
+    }
+}
+
 uv_buf_t event_loop::read_buffer()
 {
     const auto bytes = buffers_.is_exhausted() ? byte_budget::small_share : read_buffer_bytes;
--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server_connection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace clementinegap {
 namespace {
@@ -46,7 +47,7 @@
         due_ = event_loop::now() + limits_.header_timeout;
     }
     pending_.append(bytes);
-    if (state_ == state::handling) {
+    if (state_ == state::handling || is_deferred_) {
         if (pending_.size() > read_ahead_bytes || !loop_.buffers().may_hold(pending_.size())) {
             paused_ = true;
             tcp_.pause(true);
@@ -60,10 +61,20 @@
 
 void http_server_connection::process_pending()
 {
-    if (state_ == state::awaiting_head && !read_head()) {
-        return;
+    if (state_ != state::awaiting_head || read_head()) {
+        read_body();
+    }
+    const bool needs_bytes = state_ == state::awaiting_head || state_ == state::reading_body;
+    if (needs_bytes && !is_deferred_) {
+        resume_reading();
+    }
+}
+
+void http_server_connection::resume_reading()
+{
+    if (std::exchange(paused_, false)) {
+        tcp_.pause(false);
     }
-    read_body();
 }
 
 void http_server_connection::skip_empty_lines()
@@ -174,17 +185,26 @@
         count_held();
         due_ = event_loop::now() + close_timeout;
         tcp_.end_writing();
+        // Bytes that are left unread when the connection is closed would reset it.
+        resume_reading();
         return;
     }
     state_ = state::awaiting_head;
     due_ = event_loop::now() + (pending_.empty() ? limits_.idle_timeout : limits_.header_timeout);
-    if (paused_) {
-        paused_ = false;
-        tcp_.pause(false);
-    }
-    if (!pending_.empty()) {
-        process_pending();
+    if (pending_.empty()) {
+        resume_reading();
+        return;
     }
+    // A client may send thousands of requests at once.
+    is_deferred_ = true;
+    loop_.defer(*this);
+}
+
+void http_server_connection::go_on()
+{
+    is_deferred_ = false;
+    process_pending();
+    count_held();
 }
 
 void http_server_connection::abort()
@@ -250,6 +270,8 @@
     }
     state_ = state::closed;
     due_ = never;
+    is_deferred_ = false;
+    loop_.forget(*this);
     held_.resize(0);
     tcp_.close();
     handler_.on_disconnected(*this);
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -20,7 +20,7 @@
 
 /// A client's persistent connection: reads complete requests one after the other and sends the responses.
 /// Callbacks must not destroy the connection.
-class http_server_connection final : private tcp_connection_events {
+class http_server_connection final : private tcp_connection_events, private deferred_work {
 public:
     class handler {
     public:
@@ -38,6 +38,7 @@
     };
 
     http_server_connection(event_loop& loop, handler& owner, server_limits limits);
+    ~http_server_connection() override { loop_.forget(*this); }
     bool accept(uv_stream_t* listening, const keepalive_limits& keepalive);
 
     /// Sends a part of the response to the request passed to `on_request` last.
@@ -73,7 +74,9 @@
     void on_bytes(std::string_view bytes) override;
     void on_closed(close_cause cause) override;
     void on_written() override { handler_.on_written(*this); }
+    void go_on() override;
     void process_pending();
+    void resume_reading();
     void skip_empty_lines();
     bool read_head();
     void count_held() { held_.resize(pending_.capacity() + body_.capacity()); }
@@ -97,6 +100,7 @@
     bool too_large_{false};
     bool no_memory_{false}; ///< The body was dropped, because the process holds too much.
     bool paused_{false};
+    bool is_deferred_{false}; ///< The next request has been received; it is handled in the next iteration.
     time_point due_{never};
 };
 
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -114,11 +114,16 @@
     if (block_ == nullptr) {
         return;
     }
+    if (std::exchange(flush_pending_, false)) {
+        loop_.forget(*this);
+        (void)write_without_waiting(); // What the system does not take now is dropped.
+    }
     loop_.deliveries().remove(*this);
     auto* block = block_;
     block_ = nullptr;
     block->owner = nullptr;
     closed_reported_ = true;
+    queue_.clear();
     unwritten_bytes_.resize(0);
     const uv_close_cb free_block = [](uv_handle_t* handle) {
         delete static_cast<handle_block*>(handle->data);
@@ -181,11 +186,14 @@
 void tcp_connection::start_reading()
 {
     reading_ = true;
+    read_enough_ = false;
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&block_->handle),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
             auto* owner = static_cast<handle_block*>(handle->data)->owner;
-            *buffer = owner == nullptr ? uv_buf_init(nullptr, 0) : owner->loop_.read_buffer();
+            // Without a buffer libuv reads on in the next iteration of the loop, after the other connections.
+            const bool has_turn = owner != nullptr && !std::exchange(owner->read_enough_, false);
+            *buffer = has_turn ? owner->loop_.read_buffer() : uv_buf_init(nullptr, 0);
         },
         &tcp_connection::on_read);
 }
@@ -193,14 +201,16 @@
 void tcp_connection::on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer)
 {
     auto* owner = static_cast<handle_block*>(stream->data)->owner;
-    if (owner == nullptr || count == 0) {
+    if (owner == nullptr || count == 0 || count == UV_ENOBUFS) {
         return;
     }
+    const event_loop::input_batch batch(owner->loop_);
     if (count < 0) {
         const bool orderly = count == UV_EOF && !was_reset(stream);
         owner->report_closed(orderly ? close_cause::end_of_stream : close_cause::reset);
         return;
     }
+    owner->read_enough_ = static_cast<std::size_t>(count) == buffer->len;
     owner->events_.on_bytes({buffer->base, static_cast<std::size_t>(count)});
 }
 
@@ -224,39 +234,87 @@
         return;
     }
     written_bytes_ += bytes.size();
+    queue_.append(std::move(bytes));
     if (is_delivery_watched_) {
         loop_.deliveries().add(*this);
     }
+    if (!loop_.is_in_batch()) {
+        flush();
+        return;
+    }
+    if (!std::exchange(flush_pending_, true)) {
+        loop_.flush_after_batch(*this);
+    }
+    count_unwritten();
+}
+
+void tcp_connection::flush()
+{
+    flush_pending_ = false;
+    if (!writing_) {
+        auto rest = write_without_waiting();
+        if (!rest.empty()) {
+            start_write(std::move(rest));
+        }
+    }
+    shut_down_if_drained();
+    count_unwritten();
+}
+
+std::string tcp_connection::write_without_waiting()
+{
+    if (writing_) {
+        return {};
+    }
     auto* stream = reinterpret_cast<uv_stream_t*>(&block_->handle);
-    std::size_t written = 0;
-    if (unwritten() == 0) {
+    while (!queue_.empty()) {
+        auto bytes = queue_.take_front();
         uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int result = uv_try_write(stream, &buffer, 1);
-        written = result > 0 ? static_cast<std::size_t>(result) : 0;
-        if (written == bytes.size()) {
-            return;
+        const auto written = result > 0 ? static_cast<std::size_t>(result) : 0;
+        if (written < bytes.size()) {
+            bytes.erase(0, written);
+            return bytes;
         }
     }
-    bytes.erase(0, written);
+    return {};
+}
+
+void tcp_connection::start_write(std::string bytes)
+{
     auto* block = new write_block;
     block->bytes = std::move(bytes);
     block->request.data = block;
     uv_buf_t buffer = uv_buf_init(block->bytes.data(), static_cast<unsigned>(block->bytes.size()));
+    auto* stream = reinterpret_cast<uv_stream_t*>(&block_->handle);
     const int result = uv_write(&block->request, stream, &buffer, 1, [](uv_write_t* request, int status) {
         auto* owner = static_cast<handle_block*>(request->handle->data)->owner;
         delete static_cast<write_block*>(request->data);
         if (owner != nullptr) {
-            owner->count_unwritten();
-        }
-        // A failed write also makes the read fail, which reports the close.
-        if (owner != nullptr && status == 0 && owner->unwritten() == 0) {
-            owner->events_.on_written();
+            owner->on_write_end(status);
         }
     });
     if (result != 0) {
         delete block;
+        queue_.clear();
+        return;
+    }
+    writing_ = true;
+}
+
+void tcp_connection::on_write_end(int status)
+{
+    writing_ = false;
+    if (status != 0) {
+        // A failed write also makes the read fail, which reports the close.
+        queue_.clear();
+        count_unwritten();
+        return;
+    }
+    flush();
+    if (unwritten() == 0) {
+        events_.on_written();
     }
-    count_unwritten();
 }
 
 void tcp_connection::reset_unless_ended()
@@ -279,6 +337,16 @@
     if (closed_reported_) {
         return;
     }
+    ends_writing_ = true;
+    shut_down_if_drained();
+}
+
+void tcp_connection::shut_down_if_drained()
+{
+    if (!ends_writing_ || writing_ || !queue_.empty()) {
+        return;
+    }
+    ends_writing_ = false;
     auto* request = new uv_shutdown_t;
     const int result = uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&block_->handle),
                                    [](uv_shutdown_t* done, int status) {
@@ -298,7 +366,8 @@
     if (block_ == nullptr) {
         return 0;
     }
-    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&block_->handle));
+    const auto* stream = reinterpret_cast<const uv_stream_t*>(&block_->handle);
+    return uv_stream_get_write_queue_size(stream) + queue_.size();
 }
 
 std::size_t tcp_connection::undelivered() const
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "net/delivery_monitor.h"
 #include "net/event_loop.h"
+#include "net/output_queue.h"
 
 #include <cstdint>
 #include <functional>
@@ -45,7 +46,7 @@
 };
 
 /// A TCP connection; closed by the destructor.
-class tcp_connection final : private delivery_watch::member {
+class tcp_connection final : private batched_output, private delivery_watch::member {
 public:
     tcp_connection(event_loop& loop, tcp_connection_events& events);
     tcp_connection(const tcp_connection&) = delete;
@@ -82,6 +83,13 @@
     struct handle_block;
     struct write_block;
     void start_reading();
+    void flush() override;
+    /// Passes queued bytes to the operating system without waiting. \returns what it did not take of them.
+    std::string write_without_waiting();
+    void start_write(std::string bytes);
+    void on_write_end(int status);
+    /// Shuts the sending side down, if that was asked for and nothing is queued.
+    void shut_down_if_drained();
     bool check_delivery(duration elapsed) override;
     void count_unwritten() { unwritten_bytes_.resize(unwritten()); }
     void report_closed(close_cause cause);
@@ -91,10 +99,15 @@
     tcp_connection_events& events_;
     handle_block* block_; ///< nullptr once closed.
     byte_reservation unwritten_bytes_;
+    output_queue queue_;
     delivery_monitor delivery_;
     std::uint64_t written_bytes_{0}; ///< All that were passed to `write`.
     bool is_delivery_watched_{false};
+    bool writing_{false}; ///< The system has yet to take a block of the queue.
+    bool flush_pending_{false};
+    bool ends_writing_{false};
     bool reading_{false};
+    bool read_enough_{false}; ///< In this iteration of the loop.
     bool reset_on_close_{false};
     bool closed_reported_{false};
 };
--- a/tests/net/test_http_server_connection.cpp
+++ b/tests/net/test_http_server_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <memory>
 
@@ -33,6 +34,7 @@
             uv_run(loop_.native(), UV_RUN_NOWAIT);
         }
     }
+    int answered() const { return answered_; }
     bool run_until_answered(int answers)
     {
         const auto end = event_loop::now() + step_timeout;
@@ -92,4 +94,23 @@
     BOOST_TEST(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC < longest_seconds);
 }
 
+// Guards against handling all requests that a client has sent at once before any other connection has its turn.
+BOOST_FIXTURE_TEST_CASE(handles_one_of_many_requests_in_each_iteration_of_the_loop, http_pair)
+{
+    constexpr int requests = 20000;
+    std::string text;
+    for (int i = 0; i < requests; ++i) {
+        text += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    write(text);
+    int most = 0;
+    for (int before = 0; before < requests; before = answered()) {
+        BOOST_REQUIRE(run_until_answered(before + 1));
+        most = std::max(most, answered() - before);
+    }
+    // Those of a read and of the deferred work before it.
+    BOOST_TEST(most <= 2);
+    BOOST_TEST(answered() == requests);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/router/test_router_parts.cpp
+++ b/tests/router/test_router_parts.cpp
@@ -40,7 +40,8 @@
     }
 }
 
-// Guards against a search of the whole incomplete event for each piece, which stopped the process for seconds.
+// Guards against a search of the whole incomplete event for each piece, which stopped the process for
+// seconds.
 BOOST_AUTO_TEST_CASE(takes_little_time_for_an_endless_event_in_small_pieces)
 {
     constexpr std::size_t event_bytes = std::size_t{1} << 20U;
