--- a/net/http_server_connection.cpp
+++ b/net/http_server_connection.cpp
@@ -95,6 +95,7 @@
 bool http_server_connection::read_head()
 {
     skip_empty_lines();
+    is_head_request_ = pending_.view().starts_with("HEAD ");
     // Bytes that were searched when they arrived are not searched again, however small the pieces are.
     const auto end = pending_.view().find(head_end, searched_);
     const bool is_complete = end != std::string_view::npos;
@@ -170,10 +171,19 @@
 {
     state_ = state::handling;
     body_ = {};
-    write(handler_.error_response(status, text));
+    write_response(handler_.error_response(status, text));
     end_response(true);
 }
 
+void http_server_connection::write_response(std::string response)
+{
+    const auto end = is_head_request_ ? response.find(head_end) : std::string::npos;
+    if (end != std::string::npos) {
+        response.resize(end + head_end.size());
+    }
+    write(std::move(response));
+}
+
 void http_server_connection::end_response(bool close)
 {
     if (state_ != state::handling) {
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -43,6 +43,9 @@
 
     /// Sends a part of the response to the request passed to `on_request` last.
     void write(std::string bytes) { tcp_.write(std::move(bytes)); }
+    /// Sends a whole response. Its body is left out if the request is HEAD: the client would take it for the
+    /// beginning of its next response.
+    void write_response(std::string response);
     /// The response in progress ends with its connection. The client gets a reset if this process ends
     /// before.
     void reset_unless_ended() { tcp_.reset_unless_ended(); }
@@ -97,6 +100,7 @@
     std::size_t searched_{0}; ///< Bytes of `pending_` in which no head ends.
     std::string body_;
     state state_{state::awaiting_head};
+    bool is_head_request_{false};
     bool too_large_{false};
     bool no_memory_{false}; ///< The body was dropped, because the process holds too much.
     bool paused_{false};
--- a/router/entry_gateway.cpp
+++ b/router/entry_gateway.cpp
@@ -53,7 +53,7 @@
     request_arrived event;
     if (const auto fault = decode_request(head, event)) {
         log_.write({"request.malformed", event.id, "", fault->text});
-        from.write(error_response(fault->status, fault->text));
+        from.write_response(error_response(fault->status, fault->text));
         from.end_response(true);
         return;
     }
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -283,7 +283,7 @@
 {
     close_after_ = close_after_ || gateway_.stopping();
     if (caller_ != nullptr) {
-        caller_->write(encode_own_answer(action, id_, close_after_));
+        caller_->write_response(encode_own_answer(action, id_, close_after_));
     }
     finish(close_after_);
 }
--- a/router/probe_server.cpp
+++ b/router/probe_server.cpp
@@ -18,7 +18,7 @@
 {
     const auto response = respond_(std::string_view(head.target).substr(0, head.target.find('?')));
     const bool close = !head.keep_alive;
-    from.write(encode_text_answer(response.status, response.content_type, response.body, close));
+    from.write_response(encode_text_answer(response.status, response.content_type, response.body, close));
     from.end_response(close);
 }
 
--- a/tests/router/test_gateway.cpp
+++ b/tests/router/test_gateway.cpp
@@ -46,6 +46,30 @@
     BOOST_TEST(std::stoi(*seen.head.find("X-Deadline-Ms")) <= 14000);
 }
 
+// Guards against bodies after own answers to HEAD, which the caller met in place of its next answer.
+BOOST_AUTO_TEST_CASE(answers_head_without_a_body_and_serves_the_next_request)
+{
+    for (const std::string refused : {"HEAD /nowhere HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n",
+                                      "HEAD /look/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: b\r\n\r\n"}) {
+        struct raw_caller final : tcp_connection_events {
+            void on_bytes(std::string_view bytes) override { received.append(bytes); }
+            void on_closed(close_cause) override {}
+            std::string received;
+        } events;
+        tcp_connection caller(loop, events);
+        caller.connect("127.0.0.1", gateway->port());
+        caller.write(refused);
+        BOOST_REQUIRE(run_until([&] { return events.received.find("\r\n\r\n") != std::string::npos; }));
+        BOOST_TEST(events.received.starts_with("HTTP/1.1 40"));
+        BOOST_TEST(events.received.find("Content-Length: ") != std::string::npos);
+        BOOST_TEST(events.received.ends_with("\r\n\r\n"));
+        events.received.clear();
+        caller.write(request("/look/x", "after-" + std::to_string(refused.size()), "", "x"));
+        BOOST_REQUIRE(run_until([&] { return events.received.ends_with(answer_body); }));
+        BOOST_TEST(events.received.starts_with("HTTP/1.1 200 "));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(serves_many_requests_on_one_connection_and_keeps_those_to_upstreams)
 {
     test_caller caller(loop, gateway->port());
