An answer with an invalid status is no answer, on both paths

Cause: http-parser and libcurl take any three digits. Found beside it: libcurl reports bytes that are no HTTP with the code of an unknown protocol, which counted as a call that had reached nobody, so a request that may have run could run again.

Change: a status outside 100 to 599 breaks the response; a call of libcurl has not reached its server only if no byte of the request was sent.

Evidence: reports_a_status_outside_the_valid_range_as_broken and is_broken_if_it_is_not_a_valid_response failed before for each of their answers, and pass.

--- a/adapters/http_client.cpp
+++ b/adapters/http_client.cpp
@@ -14,6 +14,9 @@
 
 constexpr int poll_timeout_ms = 1000;
 constexpr long max_kept_connections = 256;
+/// Valid status codes (RFC 9110, section 15).
+constexpr long least_status = 100;
+constexpr long largest_status = 599;
 
 /// One call under way.
 struct transfer {
@@ -34,6 +37,14 @@
         curl_easy_cleanup(easy);
     }
 
+    long status() const
+    {
+        long value = 0;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &value);
+        return value;
+    }
+    bool has_valid_status() const { return status() >= least_status && status() <= largest_status; }
+
     void tell_head()
     {
         if (head_told) {
@@ -41,11 +52,9 @@
         }
         head_told = true;
         if (events.on_head) {
-            long status = 0;
             const char* content_type = nullptr;
-            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
             curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &content_type);
-            events.on_head(static_cast<std::uint16_t>(status), content_type == nullptr ? "" : content_type);
+            events.on_head(static_cast<std::uint16_t>(status()), content_type == nullptr ? "" : content_type);
         }
     }
 };
@@ -68,6 +77,9 @@
     if (item.held) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    if (!item.has_valid_status()) {
+        return CURL_WRITEFUNC_ERROR;
+    }
     item.tell_head();
     if (item.events.on_bytes) {
         item.events.on_bytes({data, size * count});
@@ -81,11 +93,18 @@
     return global == CURLE_OK ? curl_multi_init() : nullptr;
 }
 
-http_end_kind kind_of(CURLcode code)
+http_end_kind kind_of(CURLcode code, const transfer& item)
 {
+    if (code == CURLE_OK) {
+        return item.has_valid_status() ? http_end_kind::complete : http_end_kind::broken;
+    }
+    // libcurl has codes that mean both a call that cannot be made and an answer that is not HTTP.
+    long request_bytes = 0;
+    curl_easy_getinfo(item.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    if (request_bytes > 0) {
+        return http_end_kind::broken;
+    }
     switch (code) {
-    case CURLE_OK:
-        return http_end_kind::complete;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
@@ -244,14 +263,14 @@
     static void finish(transfer& item, CURLcode code)
     {
         http_end end;
-        end.kind = kind_of(code);
-        long status = 0;
-        curl_easy_getinfo(item.easy, CURLINFO_RESPONSE_CODE, &status);
-        end.status = static_cast<std::uint16_t>(status);
+        end.kind = kind_of(code, item);
+        end.status = static_cast<std::uint16_t>(item.status());
         if (code != CURLE_OK) {
             end.problem = curl_easy_strerror(code);
-        } else {
+        } else if (end.kind == http_end_kind::complete) {
             item.tell_head();
+        } else {
+            end.problem = "the status of the answer is invalid";
         }
         if (item.events.on_end) {
             item.events.on_end(end);
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t max_response_header_lines = 256;
 /// Limit of 1xx responses before a final response; correct servers send one or two.
 constexpr std::uint32_t max_informational_responses = 16;
+/// Valid status codes (RFC 9110, section 15).
+constexpr int least_status = 100;
+constexpr int largest_status = 599;
+/// Makes the parser fail when a head is complete.
+constexpr int refuse_message = -1;
 
 bool is_token(char c)
 {
@@ -118,6 +123,9 @@
         parser_.upgrade = 0;
     } else {
         head_.status = static_cast<int>(parser_.status_code);
+        if (head_.status < least_status || head_.status > largest_status) {
+            return refuse_message;
+        }
         if (head_.status >= 100 && head_.status < 200) {
             informational_ = true;
             return 0;
--- a/tests/net/test_http_reader.cpp
+++ b/tests/net/test_http_reader.cpp
@@ -53,6 +53,18 @@
     BOOST_TEST(got.body == "some");
 }
 
+// Guards against passing on the answer of a faulty server whose status is no status.
+BOOST_AUTO_TEST_CASE(reports_a_status_outside_the_valid_range_as_broken)
+{
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        collected got;
+        auto reader = make_reader(http_reader::kind::responses, got);
+        reader.feed("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_TEST((reader.status() == http_reader::state::broken), status);
+        BOOST_TEST(got.heads == 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reports_a_truncated_response_as_broken)
 {
     for (const auto* text : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome",
--- a/tests/process/test_http_client.cpp
+++ b/tests/process/test_http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
+#include <functional>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -13,11 +14,13 @@
 
 namespace {
 
-/// A server that answers the first request of each connection and closes the connection on its second, as one
-/// does that stops at the wrong moment. It counts what reached it.
-class closing_server {
+/// A server that serves each connection as it is told.
+class scripted_server {
 public:
-    closing_server() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    using script = std::function<void(raw_connection& connection)>;
+
+    explicit scripted_server(script serve)
+        : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), serve_(std::move(serve))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -27,11 +30,11 @@
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
         port_ = ntohs(address.sin_port);
         BOOST_REQUIRE(::listen(listener_, 8) == 0);
-        thread_ = std::thread([this] { serve(); });
+        thread_ = std::thread([this] { accept(); });
     }
-    closing_server(const closing_server&) = delete;
-    closing_server& operator=(const closing_server&) = delete;
-    ~closing_server()
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+    ~scripted_server()
     {
         ::shutdown(listener_, SHUT_RDWR);
         thread_.join();
@@ -39,18 +42,35 @@
     }
 
     std::string url() const { return "http://127.0.0.1:" + std::to_string(port_) + "/"; }
-    int received() const { return received_; }
 
 private:
-    void serve()
+    void accept()
     {
         for (int accepted = ::accept(listener_, nullptr, nullptr); accepted >= 0;
              accepted = ::accept(listener_, nullptr, nullptr)) {
-            connections_.emplace_back([this, accepted] { serve(raw_connection(accepted)); });
+            connections_.emplace_back([this, accepted] {
+                raw_connection connection(accepted);
+                serve_(connection);
+            });
         }
     }
 
-    void serve(raw_connection connection)
+    int listener_;
+    script serve_;
+    std::uint16_t port_{0};
+    std::vector<std::jthread> connections_;
+    std::thread thread_;
+};
+
+/// A server that answers the first request of each connection and closes the connection on its second, as one
+/// does that stops at the wrong moment. It counts what reached it.
+class closing_server {
+public:
+    std::string url() const { return server_.url(); }
+    int received() const { return received_; }
+
+private:
+    void serve(raw_connection& connection)
     {
         if (connection.read_until("\r\n\r\nrun").empty()) {
             return;
@@ -62,20 +82,17 @@
         }
     }
 
-    int listener_;
-    std::uint16_t port_{0};
     std::atomic<int> received_{0};
-    std::vector<std::jthread> connections_;
-    std::thread thread_;
+    scripted_server server_{[this](raw_connection& connection) { serve(connection); }};
 };
 
 /// Makes one call and waits for its end.
-http_end call(http_client& client, const closing_server& server, bool fresh)
+http_end call(http_client& client, const std::string& url, bool fresh, std::string body = "run")
 {
     http_call request;
     request.method = "POST";
-    request.url = server.url();
-    request.body = "run";
+    request.url = url;
+    request.body = std::move(body);
     request.fresh_connection = fresh;
     std::atomic<bool> done{false};
     http_end result;
@@ -97,8 +114,8 @@
 {
     closing_server server;
     http_client client;
-    BOOST_TEST((call(client, server, false).kind == http_end_kind::complete));
-    BOOST_TEST((call(client, server, false).kind == http_end_kind::complete));
+    BOOST_TEST((call(client, server.url(), false).kind == http_end_kind::complete));
+    BOOST_TEST((call(client, server.url(), false).kind == http_end_kind::complete));
     // The second call reached the server on the kept connection and again on a new one.
     BOOST_TEST(server.received() == 3);
 }
@@ -107,9 +124,45 @@
 {
     closing_server server;
     http_client client;
-    BOOST_TEST((call(client, server, false).kind == http_end_kind::complete));
-    BOOST_TEST((call(client, server, true).kind == http_end_kind::complete));
+    BOOST_TEST((call(client, server.url(), false).kind == http_end_kind::complete));
+    BOOST_TEST((call(client, server.url(), true).kind == http_end_kind::complete));
     BOOST_TEST(server.received() == 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_answer_of_a_server_in_trouble)
+
+// Guards against taking the part of an answer without a length that came before a reset for the whole answer.
+BOOST_AUTO_TEST_CASE(is_broken_if_it_has_no_length_and_is_reset_during_a_long_upload)
+{
+    for (const std::size_t sent : {std::size_t{4} * 1024, std::size_t{256} * 1024}) {
+        scripted_server server([&](raw_connection& connection) {
+            connection.read_until("\r\n\r\n");
+            connection.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(sent, 'a'));
+            // Closing with unread bytes of the upload resets the connection.
+        });
+        http_client client;
+        const auto end = call(client, server.url(), true, std::string(std::size_t{8} << 20U, 'b'));
+        BOOST_TEST((end.kind == http_end_kind::broken), sent);
+    }
+}
+
+// Guards against passing on an answer whose status is no status, and against reporting that nothing was sent when
+// the bytes that came are no HTTP.
+BOOST_AUTO_TEST_CASE(is_broken_if_it_is_not_a_valid_response)
+{
+    for (const std::string answer : {"HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok",
+                                     "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
+                                     "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n",
+                                     "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok", "no answer at all\r\n\r\n"}) {
+        scripted_server server([&](raw_connection& connection) {
+            connection.read_until("run");
+            connection.send(answer);
+        });
+        http_client client;
+        BOOST_TEST((call(client, server.url(), true).kind == http_end_kind::broken), answer);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
