Backpressure looks at what the system refused, not at what waits for the end of a batch

Cause: output that is written while input is handled waits for the end of that input.

Change: the limit is compared with the bytes that the operating system did not take.

--- a/net/event_loop.h
+++ b/net/event_loop.h
@@ -80,7 +80,8 @@
     void flush_after_batch(batched_output& output) { batched_.push_back(&output); }
     /// The output will not be written any more.
     void forget(batched_output& output);
-    /// Calls `go_on` once, in the next iteration of the loop, so that other connections have their turn before.
+    /// Calls `go_on` once, in the next iteration of the loop, so that other connections have their turn
+    /// before.
     void defer(deferred_work& work);
     void forget(deferred_work& work) { std::erase(deferred_, &work); }
     /// The connections whose peers have yet to acknowledge bytes.
--- a/net/http_server_connection.h
+++ b/net/http_server_connection.h
@@ -38,6 +38,8 @@
     };
 
     http_server_connection(event_loop& loop, handler& owner, server_limits limits);
+    http_server_connection(const http_server_connection&) = delete;
+    http_server_connection& operator=(const http_server_connection&) = delete;
     ~http_server_connection() override { loop_.forget(*this); }
     bool accept(uv_stream_t* listening, const keepalive_limits& keepalive);
 
@@ -50,6 +52,8 @@
     /// before.
     void reset_unless_ended() { tcp_.reset_unless_ended(); }
     std::size_t unwritten() const { return tcp_.unwritten(); }
+    /// Bytes of responses that the operating system did not take, because the client reads slowly.
+    std::size_t backlog() const { return tcp_.backlog(); }
     /// Bytes of responses that the client has not acknowledged.
     std::size_t undelivered() const { return tcp_.undelivered(); }
     /// Ends the response. \param close whether to close the connection after it.
--- a/net/output_queue.h
+++ b/net/output_queue.h
@@ -28,7 +28,6 @@
         bytes_ -= block.size();
         return block;
     }
-    const std::string& front() const { return blocks_.front(); }
     void clear()
     {
         blocks_.clear();
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -64,6 +64,9 @@
     void end_writing();
     /// Bytes queued for writing.
     std::size_t unwritten() const;
+    /// Bytes that the operating system did not take. It has not been asked to yet for those that are written
+    /// while a batch of input is handled.
+    std::size_t backlog() const { return writing_ ? unwritten() : 0; }
     /// Bytes that the peer has not acknowledged, queued ones among them.
     std::size_t undelivered() const;
     /// Stops or resumes reading, which applies backpressure to the peer.
--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -184,7 +184,7 @@
 
 bool exchange::caller_is_behind() const
 {
-    return caller_ != nullptr && caller_->unwritten() > gateway_.buffers().queue_share();
+    return caller_ != nullptr && caller_->backlog() > gateway_.buffers().queue_share();
 }
 
 void exchange::apply_backpressure()
--- a/tests/net/test_http_server_connection.cpp
+++ b/tests/net/test_http_server_connection.cpp
@@ -14,7 +14,7 @@
     seconds(20); ///< Far above the duration of any step, also on a busy machine.
 
 /// A server that answers each request, and a client that writes bytes to it.
-class http_pair : public http_server_connection::handler, public tcp_connection_events {
+class http_pair : public http_server_connection::handler {
 public:
     http_pair()
         : listener_(loop_,
@@ -22,7 +22,7 @@
                         server_ = std::make_unique<http_server_connection>(loop_, *this, server_limits{});
                         server_->accept(listening, {});
                     }),
-          client_(loop_, *this)
+          client_(loop_, client_events_)
     {
         listener_.listen("127.0.0.1", 0);
         client_.connect("127.0.0.1", listener_.port());
@@ -54,12 +54,16 @@
     std::string error_response(int, std::string_view) override { return "HTTP/1.1 400 Bad Request\r\n\r\n"; }
     void on_disconnected(http_server_connection&) override {}
     void on_written(http_server_connection&) override {}
-    void on_bytes(std::string_view) override {}
-    void on_closed(close_cause) override {}
+
+    struct ignored_events final : tcp_connection_events {
+        void on_bytes(std::string_view) override {}
+        void on_closed(close_cause) override {}
+    };
 
     event_loop loop_;
     tcp_listener listener_;
     std::unique_ptr<http_server_connection> server_;
+    ignored_events client_events_;
     tcp_connection client_;
     int answered_{0};
 };
@@ -94,7 +98,8 @@
     BOOST_TEST(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC < longest_seconds);
 }
 
-// Guards against handling all requests that a client has sent at once before any other connection has its turn.
+// Guards against handling all requests that a client has sent at once before any other connection has its
+// turn.
 BOOST_FIXTURE_TEST_CASE(handles_one_of_many_requests_in_each_iteration_of_the_loop, http_pair)
 {
     constexpr int requests = 20000;
--- a/tests/net/test_tcp_connection.cpp
+++ b/tests/net/test_tcp_connection.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr duration step_timeout = seconds(20); ///< Far above the duration of any step, also on a busy machine.
+constexpr duration step_timeout =
+    seconds(20); ///< Far above the duration of any step, also on a busy machine.
 
 /// One end of a connection.
 struct connection_end : tcp_connection_events {
@@ -60,8 +61,8 @@
 
 BOOST_AUTO_TEST_SUITE(a_tcp_connection)
 
-// Guards against a peer that sends without end and whose bytes are all read in one iteration of the loop, which
-// kept the entry from all other connections.
+// Guards against a peer that sends without end and whose bytes are all read in one iteration of the loop,
+// which kept the entry from all other connections.
 BOOST_FIXTURE_TEST_CASE(reads_a_bounded_part_in_each_iteration_of_the_loop, connected_ends)
 {
     constexpr std::size_t total = std::size_t{8} << 20U;
--- a/tests/process/test_http_client.cpp
+++ b/tests/process/test_http_client.cpp
@@ -148,14 +148,14 @@
     }
 }
 
-// Guards against passing on an answer whose status is no status, and against reporting that nothing was sent when
-// the bytes that came are no HTTP.
+// Guards against passing on an answer whose status is no status, and against reporting that nothing was sent
+// when the bytes that came are no HTTP.
 BOOST_AUTO_TEST_CASE(is_broken_if_it_is_not_a_valid_response)
 {
-    for (const std::string answer : {"HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok",
-                                     "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
-                                     "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n",
-                                     "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok", "no answer at all\r\n\r\n"}) {
+    for (const std::string answer :
+         {"HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok",
+          "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok",
+          "no answer at all\r\n\r\n"}) {
         scripted_server server([&](raw_connection& connection) {
             connection.read_until("run");
             connection.send(answer);
--- a/tests/router/test_slow_callers.cpp
+++ b/tests/router/test_slow_callers.cpp
@@ -16,7 +16,8 @@
 /// A caller with a small receive buffer that reads only when told to.
 class reluctant_caller {
 public:
-    reluctant_caller(std::uint16_t port, const std::string& request) : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    reluctant_caller(std::uint16_t port, const std::string& request)
+        : socket_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         constexpr int receive_buffer = 4096;
         ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
