--- a/misc/soak_routed.py
+++ b/misc/soak_routed.py
@@ -60,6 +60,9 @@
 EXCUSED_S = 0.3  # After a resumption or the end of a cut.
 USAGE_OFF, USAGE_OFF_LEAST = 0.05, 3  # A share of the counts, and requests at the edges of a window.
 MOST_TAKE_UPS = 3
+SLOW_CALLER_EVERY = 4  # One in so many callers reads its answers slowly.
+SLOW_PIECE_BYTES = 16
+SLOW_PAUSE_S = 0.01
 SLOW_PACE_MS = "80"  # Streams long enough to be broken off.
 DEADLY_PART, DEADLY_SHARE = "dead", 0.05
 MOST_LATE_CRASHES, CRASHES_TO_LEARN, LEARNING_S = 3, 5, 3
@@ -122,16 +125,25 @@
 
 
 GIVEN_PORTS = set()
+# Not the generator of the schedule: the same seed must play the same faults, whatever ports are taken.
+PORT_CHOICE = random.SystemRandom()
 
 
 def free_port():
-    """A port that no process of this soak has been given; the system may offer one again before it is listened at."""
+    """A port that nobody listens at and that no outgoing connection gets before the process that is given it listens."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
+        first_of_outgoing = int(file.read().split()[0])
     while True:
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            port = probe.getsockname()[1]
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
+        port = PORT_CHOICE.randrange(10000, max(first_of_outgoing, 20000))
+        if port in GIVEN_PORTS:
+            continue
+        GIVEN_PORTS.add(port)
+        try:
+            with socket.create_server(("127.0.0.1", port)), socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+                datagrams.bind(("127.0.0.1", port))
             return port
+        except OSError:
+            continue
 
 
 class Deployment:
@@ -320,6 +332,21 @@
         self.is_deadly = is_deadly
         self.number, self.deployment, self.results = number, deployment, results
         self.random, self.stopping, self.connection, self.sent = random.Random(seed), False, None, 0
+        self.is_slow = number % SLOW_CALLER_EVERY == 0
+
+    def read(self, answer):
+        """The body of an answer; a slow caller takes it in small pieces."""
+        if not self.is_slow:
+            return answer.read()
+        body = b""
+        try:
+            while piece := answer.read(SLOW_PIECE_BYTES):
+                body += piece
+                time.sleep(SLOW_PAUSE_S)
+        except http.client.IncompleteRead as problem:
+            problem.partial = body + problem.partial
+            raise
+        return body
 
     def run(self):
         while not self.stopping:
@@ -346,7 +373,7 @@
             self.connection.request("POST", f"/{kind}/x", b"body", headers)
             answer = self.connection.getresponse()
             status, answered_id = answer.status, answer.headers.get("X-Request-Id")
-            body = answer.read()
+            body = self.read(answer)
         except (OSError, http.client.HTTPException) as problem:
             status = 0 if status == 0 else -status
             body = getattr(problem, "partial", b"") or b""
