One crash that two daemons have seen counts once

What callers would see: a sound request that two entries lost in one crash is refused for ten minutes, if none of them has seen it end well lately.

Cause: a report states the end of a process and the suspicion that its daemon has from it. The receiver took the suspicion first and then blamed its own loss for the same end, which made two crashes of one.

Change: the ends of a report are applied before its suspicions.

Evidence: is_not_kept_away_for_one_crash_that_two_daemons_have_seen failed before and passes.

--- a/routing/request_router_fleet.cpp
+++ b/routing/request_router_fleet.cpp
@@ -42,13 +42,6 @@
     placement_.merge_speeds(event.report.speeds);
     load_.on_report(event.report, now_);
     health_.on_report(event.report.daemon, event.report.outcomes, now_);
-    for (const auto& item : event.items) {
-        crashes_.on_item(item, now_);
-        suspicion_record_.received(item, now_);
-        if (auto withdrawal = crashes_.refute(item, now_)) {
-            publish_suspicion(std::move(*withdrawal));
-        }
-    }
     if (daemon_starts_.heard(event.report.daemon, event.report.incarnation)) {
         brief_newcomer();
     }
@@ -69,6 +62,14 @@
     for (const auto& each : event.report.prompt_parts.crashes) {
         end_heard(each.upstream, each.incarnation, each.age);
     }
+    // After the ends that the report states: losses here are then counted as part of the same crash.
+    for (const auto& item : event.items) {
+        crashes_.on_item(item, now_);
+        suspicion_record_.received(item, now_);
+        if (auto withdrawal = crashes_.refute(item, now_)) {
+            publish_suspicion(std::move(*withdrawal));
+        }
+    }
     prompt_parts_.on_report(event.report.prompt_parts, event.report.next_in, now_);
 }
 
--- a/tests/routing/test_ended_upstreams.cpp
+++ b/tests/routing/test_ended_upstreams.cpp
@@ -227,6 +227,23 @@
     BOOST_TEST(!fleet.try_once(0));
 }
 
+// Guards against counting one crash twice: a report states both the end of a process and a suspicion from it,
+// and the daemon that hears of them has lost the same request there.
+BOOST_AUTO_TEST_CASE(is_not_kept_away_for_one_crash_that_two_daemons_have_seen)
+{
+    quiet_fleet fleet;
+    fleet.pass(seconds(4));
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        const auto request = fleet.arrive(daemon, quiet_fleet::crashing_body);
+        fleet.give(daemon, send_failed{request, send_fault::lost, false});
+    }
+    fleet.fail_another(0, send_fault::unreachable, true);
+    fleet.pass(milliseconds(300));
+    list_next(fleet);
+    fleet.pass(seconds(8));
+    BOOST_TEST(fleet.try_once(0));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_suspected_at_an_upstream_that_leaves)
 {
     quiet_fleet fleet;
