A reset that a write was told of is no end of stream

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The part was passed on as a complete answer, also with a 500 and without any byte of a body.

Cause: the system reports the failure of a connection once, to the first call that asks. During an upload that is the write; the read sees an end of stream after that. tcp_connection dropped the result of failed writes, on the belief that the read fails too.

Change: a connection keeps the failure of a write, and its end is a reset then. EPIPE alone is no failure of its own: the peer had ended its stream before. If the end of the input is seen while libuv has not yet told the result of a write on a connection that the system has closed, the report of the end waits for it. A connection that a write failed on is not used again.

--- a/net/http_client_connection.cpp
+++ b/net/http_client_connection.cpp
@@ -113,7 +113,7 @@
         if (!discarding_) {
             // The connection is not reusable if the response ended before the whole request was sent or if
             // more bytes follow the response.
-            finish(keep_alive_ && bytes.empty() && tcp_.unwritten() == 0);
+            finish(keep_alive_ && bytes.empty() && tcp_.unwritten() == 0 && !tcp_.has_write_failed());
             return;
         }
         reader_.restart();
--- a/net/tcp_connection.cpp
+++ b/net/tcp_connection.cpp
@@ -96,9 +96,17 @@
     return info && (info->tcpi_unacked > 0 || info->tcpi_probes > 0) && !has_answered;
 }
 
-/// Whether a connection that libuv reports as ended was reset. After a short read libuv reports a hang-up as
-/// end of stream without reading the socket, which hides a reset.
-bool was_reset(const uv_stream_t* stream)
+/// Whether the system has closed the connection in both directions, so that an outstanding write fails at
+/// once.
+bool is_closed_by_system(const uv_tcp_t& handle)
+{
+    const auto info = system_info(handle);
+    return info && info->tcpi_state == TCP_CLOSE;
+}
+
+/// Whether a connection that libuv reports as ended has a failure that nobody was told of. After a short read
+/// libuv reports a hang-up as end of stream without reading the socket, which hides a reset.
+bool has_untold_failure(const uv_stream_t* stream)
 {
     uv_os_fd_t descriptor = -1;
     if (uv_fileno(reinterpret_cast<const uv_handle_t*>(stream), &descriptor) != 0) {
@@ -240,15 +248,30 @@
         return;
     }
     const event_loop::input_batch batch(owner->loop_);
+    if (count == UV_EOF) {
+        owner->on_end_of_input();
+        return;
+    }
     if (count < 0) {
-        const bool orderly = count == UV_EOF && !was_reset(stream);
-        owner->report_closed(orderly ? close_cause::end_of_stream : close_cause::reset);
+        owner->report_closed(close_cause::reset);
         return;
     }
     owner->read_enough_ = static_cast<std::size_t>(count) == buffer->len;
     owner->events_.on_bytes({buffer->base, static_cast<std::size_t>(count)});
 }
 
+void tcp_connection::on_end_of_input()
+{
+    was_reset_ = was_reset_ || has_untold_failure(reinterpret_cast<const uv_stream_t*>(&block_->handle));
+    if (!was_reset_ && writing_ && is_closed_by_system(block_->handle)) {
+        // libuv tells the result of a write in a later iteration of the loop.
+        reading_ = false;
+        end_awaits_write_ = true;
+        return;
+    }
+    report_closed(was_reset_ ? close_cause::reset : close_cause::end_of_stream);
+}
+
 void tcp_connection::report_closed(close_cause cause)
 {
     if (closed_reported_) {
@@ -265,7 +288,7 @@
 
 void tcp_connection::write(std::string bytes)
 {
-    if (bytes.empty() || closed_reported_) {
+    if (bytes.empty() || closed_reported_ || write_failed_) {
         return;
     }
     written_bytes_ += bytes.size();
@@ -306,6 +329,10 @@
         auto bytes = queue_.take_front();
         uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int result = uv_try_write(stream, &buffer, 1);
+        if (result < 0 && result != UV_EAGAIN) {
+            on_write_failed(result);
+            return {};
+        }
         const auto written = result > 0 ? static_cast<std::size_t>(result) : 0;
         if (written < bytes.size()) {
             bytes.erase(0, written);
@@ -331,7 +358,7 @@
     });
     if (result != 0) {
         delete block;
-        queue_.clear();
+        on_write_failed(result);
         return;
     }
     writing_ = true;
@@ -341,17 +368,30 @@
 {
     writing_ = false;
     if (status != 0) {
-        // A failed write also makes the read fail, which reports the close.
-        queue_.clear();
+        on_write_failed(status);
         count_unwritten();
+    } else {
+        flush();
+    }
+    if (end_awaits_write_) {
+        report_closed(was_reset_ ? close_cause::reset : close_cause::end_of_stream);
         return;
     }
-    flush();
-    if (unwritten() == 0) {
+    if (!write_failed_ && unwritten() == 0) {
         events_.on_written();
     }
 }
 
+void tcp_connection::on_write_failed(int status)
+{
+    // The close is reported when what was received has been read. The system tells of a reset only once, here
+    // or to a read; reads see an end of stream after that. EPIPE means that the peer had ended its stream
+    // before, or that the reset was told already.
+    queue_.clear();
+    write_failed_ = true;
+    was_reset_ = was_reset_ || status != UV_EPIPE;
+}
+
 void tcp_connection::reset_unless_ended()
 {
     if (closed_reported_) {
@@ -378,7 +418,7 @@
 
 void tcp_connection::shut_down_if_drained()
 {
-    if (!ends_writing_ || writing_ || !queue_.empty()) {
+    if (!ends_writing_ || writing_ || write_failed_ || !queue_.empty()) {
         return;
     }
     ends_writing_ = false;
--- a/net/tcp_connection.h
+++ b/net/tcp_connection.h
@@ -69,6 +69,8 @@
     /// Bytes that the operating system did not take. It has not been asked to yet for those that are written
     /// while a batch of input is handled.
     std::size_t backlog() const { return writing_ ? unwritten() : 0; }
+    /// Whether the operating system has refused to take more.
+    bool has_write_failed() const { return write_failed_; }
     /// Bytes that the peer has not acknowledged, queued ones among them.
     std::size_t undelivered() const;
     /// Bytes that the system holds of the connection, as last measured; those written since are counted.
@@ -103,6 +105,10 @@
     void measure() override;
     void count_unwritten();
     void count_system_bytes();
+    /// Keeps the failure of the connection that a write was told of.
+    void on_write_failed(int status);
+    /// Reports the close, or leaves that to an outstanding write that may have been told of a reset.
+    void on_end_of_input();
     void report_closed(close_cause cause);
     static void on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer);
 
@@ -123,6 +129,9 @@
     bool reading_{false};
     bool read_enough_{false}; ///< In this iteration of the loop.
     bool reset_on_close_{false};
+    bool write_failed_{false};
+    bool was_reset_{false};        ///< Or lost in another way.
+    bool end_awaits_write_{false}; ///< The end of the input is reported when the outstanding write ends.
     bool closed_reported_{false};
 };
 
--- a/tests/net/test_tcp_connection.cpp
+++ b/tests/net/test_tcp_connection.cpp
@@ -136,4 +136,105 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(that_is_reset_by_its_peer)
+
+struct ends_with_a_part_received : connected_ends {
+    /// The peer sends a part and resets the connection.
+    void reset_by_peer()
+    {
+        server->tcp.write("part");
+        server->tcp.reset_on_close();
+        server->tcp.close();
+    }
+    void check_that_the_connection_ends_by(close_cause cause)
+    {
+        BOOST_TEST(run_until([&] { return client.closed.has_value(); }));
+        BOOST_TEST((client.closed == cause));
+        BOOST_TEST(client.received == 4U);
+    }
+
+    static constexpr std::size_t more_than_the_system_takes = std::size_t{32} << 20U;
+};
+
+// Guards against taking what came before a reset for the whole of a message. The system reports a reset once:
+// to the first call that asks, which may be one that writes; a read sees an orderly end after that.
+BOOST_AUTO_TEST_SUITE(reports_the_reset)
+
+BOOST_FIXTURE_TEST_CASE(if_it_is_read_first, ends_with_a_part_received)
+{
+    reset_by_peer();
+    check_that_the_connection_ends_by(close_cause::reset);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_a_write_comes_first, ends_with_a_part_received)
+{
+    reset_by_peer();
+    client.tcp.write("more of the upload");
+    check_that_the_connection_ends_by(close_cause::reset);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_several_writes_come_first, ends_with_a_part_received)
+{
+    reset_by_peer();
+    client.tcp.write("more of the upload");
+    client.tcp.write("and more of it");
+    client.tcp.end_writing();
+    check_that_the_connection_ends_by(close_cause::reset);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_a_write_waits_that_the_system_did_not_take_at_once, ends_with_a_part_received)
+{
+    server->tcp.pause(true);
+    client.tcp.write(std::string(more_than_the_system_takes, 'a'));
+    BOOST_REQUIRE(client.tcp.backlog() > 0U);
+    reset_by_peer();
+    client.tcp.write("more of the upload");
+    check_that_the_connection_ends_by(close_cause::reset);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_a_waiting_write_fails_while_reading_is_paused, ends_with_a_part_received)
+{
+    server->tcp.pause(true);
+    client.tcp.write(std::string(more_than_the_system_takes, 'a'));
+    client.tcp.pause(true);
+    reset_by_peer();
+    BOOST_REQUIRE(run_until([&] { return client.tcp.unwritten() == 0; }));
+    client.tcp.pause(false);
+    check_that_the_connection_ends_by(close_cause::reset);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A server may answer early and end its stream; what is still sent to it resets the connection after that.
+BOOST_AUTO_TEST_SUITE(reports_the_end_of_the_stream_that_came_before)
+
+BOOST_FIXTURE_TEST_CASE(if_writes_come_first, ends_with_a_part_received)
+{
+    server->tcp.write("part");
+    server->tcp.close();
+    client.tcp.write("more of the upload");
+    client.tcp.write("and more of it");
+    check_that_the_connection_ends_by(close_cause::end_of_stream);
+}
+
+BOOST_FIXTURE_TEST_CASE(if_a_write_waits_that_the_system_did_not_take_at_once, ends_with_a_part_received)
+{
+    server->tcp.pause(true);
+    client.tcp.write(std::string(more_than_the_system_takes, 'a'));
+    client.tcp.pause(true);
+    server->tcp.write("part");
+    server->tcp.end_writing();
+    for (int iteration = 0; iteration < 10; ++iteration) {
+        uv_run(loop.native(), UV_RUN_NOWAIT);
+    }
+    server->tcp.reset_on_close();
+    server->tcp.close();
+    client.tcp.pause(false);
+    check_that_the_connection_ends_by(close_cause::end_of_stream);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/raw_connection.cpp
+++ b/tests/process/raw_connection.cpp
@@ -82,6 +82,13 @@
     return text;
 }
 
+void raw_connection::reset()
+{
+    const linger no_wait{1, 0};
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
+    ::close(std::exchange(socket_, -1));
+}
+
 std::string request_text(std::string_view method, std::string_view path, std::string_view body,
                          std::string_view extra)
 {
--- a/tests/process/raw_connection.h
+++ b/tests/process/raw_connection.h
@@ -25,6 +25,8 @@
     /// Everything until `mark` has come, or the end.
     std::string read_until(std::string_view mark);
     std::string read_to_end();
+    /// Closes the connection with a reset.
+    void reset();
 
 private:
     int socket_;
--- a/tests/process/test_http_client.cpp
+++ b/tests/process/test_http_client.cpp
@@ -1,67 +1,13 @@
 #include "adapters/http_client.h"
 #include "process/process_deployment.h"
-#include "process/raw_connection.h"
+#include "process/scripted_server.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <arpa/inet.h>
-#include <functional>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace clementinegap;
 
 namespace {
 
-/// A server that serves each connection as it is told.
-class scripted_server {
-public:
-    using script = std::function<void(raw_connection& connection)>;
-
-    explicit scripted_server(script serve)
-        : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), serve_(std::move(serve))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-        socklen_t length = sizeof address;
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-        port_ = ntohs(address.sin_port);
-        BOOST_REQUIRE(::listen(listener_, 8) == 0);
-        thread_ = std::thread([this] { accept(); });
-    }
-    scripted_server(const scripted_server&) = delete;
-    scripted_server& operator=(const scripted_server&) = delete;
-    ~scripted_server()
-    {
-        ::shutdown(listener_, SHUT_RDWR);
-        thread_.join();
-        ::close(listener_);
-    }
-
-    std::string url() const { return "http://127.0.0.1:" + std::to_string(port_) + "/"; }
-
-private:
-    void accept()
-    {
-        for (int accepted = ::accept(listener_, nullptr, nullptr); accepted >= 0;
-             accepted = ::accept(listener_, nullptr, nullptr)) {
-            connections_.emplace_back([this, accepted] {
-                raw_connection connection(accepted);
-                serve_(connection);
-            });
-        }
-    }
-
-    int listener_;
-    script serve_;
-    std::uint16_t port_{0};
-    std::vector<std::jthread> connections_;
-    std::thread thread_;
-};
-
 /// A server that answers the first request of each connection and closes the connection on its second, as one
 /// does that stops at the wrong moment. It counts what reached it.
 class closing_server {
@@ -148,6 +94,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(is_broken_if_it_has_no_length_and_is_reset_at_once)
+{
+    scripted_server server([&](raw_connection& connection) {
+        connection.read_until("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(4000, 'a'));
+        connection.reset();
+    });
+    http_client client;
+    const std::string upload(3'000'000, 'b');
+    for (int i = 0; i < 6; ++i) {
+        BOOST_TEST((call(client, server.url(), true, upload).kind == http_end_kind::broken));
+    }
+}
+
 // Guards against passing on an answer whose status is no status, and against reporting that nothing was sent
 // when the bytes that came are no HTTP.
 BOOST_AUTO_TEST_CASE(is_broken_if_it_is_not_a_valid_response)
