A response whose head has an invalid line is no answer

Callers saw: answers in whose head the name of a field held a blank were passed on with that line; with 'Transfer-Encoding : chunked' the sizes of the chunks, or a body read to the end of the connection, were passed on as the body.

Cause: http-parser, as Debian builds it, takes blanks in names as part of them, so that such a field does not frame the body. It also takes status lines such as 'HTTP/1.1 0200 x' or with two blanks or a control byte, lines that end without CR, folded lines, and empty lines before the status line, and passes them on repaired.

Change: net/http_syntax.h states what is valid in a line, with its source; requests are checked by the same rules. response_lines cuts a response into lines and checks each before the parser reads it, informational responses included. Every reader of answers on the platform's path has it: upstreams, the store, relays, the service for duties.

--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -1,7 +1,9 @@
 #include "net/http_reader.h"
 
+#include "net/http_syntax.h"
+
 #include <algorithm>
-#include <cctype>
+#include <utility>
 
 namespace clementinegap {
 namespace {
@@ -16,23 +18,6 @@
 constexpr std::size_t max_response_header_lines = 256;
 /// Limit of 1xx responses before a final response; correct servers send one or two.
 constexpr std::uint32_t max_informational_responses = 16;
-/// Valid status codes (RFC 9110, section 15).
-constexpr int least_status = 100;
-constexpr int largest_status = 599;
-/// Makes the parser fail when a head is complete.
-constexpr int refuse_message = -1;
-
-bool is_token(char c)
-{
-    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 || marks.find(c) != std::string_view::npos;
-}
-
-bool is_field_byte(char c)
-{
-    const auto byte = static_cast<unsigned char>(c);
-    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
-}
 
 } // namespace
 
@@ -53,6 +38,7 @@
     head_bytes_ = 0;
     informational_responses_ = 0;
     head_ = {};
+    lines_ = {};
 }
 
 const http_parser_settings& http_reader::parser_settings()
@@ -123,11 +109,9 @@
         parser_.upgrade = 0;
     } else {
         head_.status = static_cast<int>(parser_.status_code);
-        if (head_.status < least_status || head_.status > largest_status) {
-            return refuse_message;
-        }
-        if (head_.status >= 100 && head_.status < 200) {
+        if (head_.status < 200) {
             informational_ = true;
+            lines_.expect_head();
             return 0;
         }
     }
@@ -137,7 +121,7 @@
 bool http_reader::exceeds_head_limits() const
 {
     return kind_ == kind::responses &&
-           (head_bytes_ > max_response_head_bytes || head_.headers.size() > max_response_header_lines ||
+           (head_bytes() > max_response_head_bytes || head_.headers.size() > max_response_header_lines ||
             informational_responses_ > max_informational_responses);
 }
 
@@ -155,13 +139,36 @@
     return taken;
 }
 
+std::size_t http_reader::read_response_part(std::string_view bytes)
+{
+    const auto part = lines_.next(bytes);
+    if (!lines_.fault().empty() || exceeds_head_limits()) {
+        state_ = state::broken;
+        return part.consumed;
+    }
+    if (part.valid.empty()) {
+        return part.consumed;
+    }
+    // The parser leaves bytes that follow the message; they are the last ones of the input, too.
+    return part.consumed - (part.valid.size() - execute(part.valid));
+}
+
 std::size_t http_reader::feed(std::string_view bytes)
 {
     if (state_ != state::reading || bytes.empty()) {
         return 0;
     }
     started_ = true;
-    const auto taken = execute(bytes);
+    std::size_t taken = 0;
+    if (kind_ == kind::requests) {
+        taken = execute(bytes);
+    }
+    while (kind_ == kind::responses && state_ == state::reading && taken < bytes.size()) {
+        taken += read_response_part(bytes.substr(taken));
+    }
+    if (state_ != state::reading) {
+        lines_.release_memory();
+    }
     if (state_ == state::complete) {
         callbacks_.on_complete();
     }
@@ -173,6 +180,10 @@
     if (state_ != state::reading || !started_) {
         return;
     }
+    if (lines_.kept_bytes() > 0) {
+        state_ = state::broken;
+        return;
+    }
     execute({});
     if (state_ == state::complete) {
         callbacks_.on_complete();
@@ -181,12 +192,12 @@
 
 std::string_view http_reader::problem() const
 {
-    return http_errno_description(HTTP_PARSER_ERRNO(&parser_));
+    return lines_.fault().empty() ? http_errno_description(HTTP_PARSER_ERRNO(&parser_)) : lines_.fault();
 }
 
 std::string_view head_fault(std::string_view head)
 {
-    std::size_t line_number = 0;
+    bool is_request_line = true;
     while (!head.empty()) {
         const auto end = head.find("\r\n");
         if (end == std::string_view::npos) {
@@ -194,16 +205,14 @@
         }
         const auto line = head.substr(0, end);
         head.remove_prefix(end + 2);
-        if (!std::all_of(line.begin(), line.end(), is_field_byte)) {
+        if (!std::all_of(line.begin(), line.end(), is_line_byte)) {
             return "control character or bare line feed in the request head";
         }
-        if (line.empty() || line_number++ == 0) {
+        if (line.empty() || std::exchange(is_request_line, false)) {
             continue;
         }
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos || colon == 0 ||
-            !std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), is_token)) {
-            return "malformed header line";
+        if (const auto fault = field_line_fault(line); !fault.empty()) {
+            return fault;
         }
     }
     return {};
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_message.h"
+#include "net/response_lines.h"
 
 #include <cstddef>
 #include <functional>
@@ -10,7 +11,8 @@
 
 namespace clementinegap {
 
-/// Reads HTTP/1 requests or responses from a byte stream, one message at a time, with http-parser.
+/// Reads HTTP/1 requests or responses from a byte stream, one message at a time, with http-parser. A response
+/// whose lines are not valid (`http_syntax.h`) is broken.
 class http_reader {
 public:
     enum class kind { requests, responses };
@@ -43,10 +45,10 @@
     /// Prepares for the next message.
     void restart();
     /// Bytes of the head that have been received, and of trailers and chunk lines after the last body bytes.
-    std::size_t head_bytes() const { return head_bytes_; }
+    std::size_t head_bytes() const { return head_bytes_ + lines_.kept_bytes(); }
     /// Memory that the head takes, about.
-    std::size_t memory_bytes() const { return head_.memory_bytes(); }
-    /// Description of the parser's error.
+    std::size_t memory_bytes() const { return head_.memory_bytes() + lines_.memory_bytes(); }
+    /// Why the input is broken.
     std::string_view problem() const;
 
 private:
@@ -55,10 +57,13 @@
     int head_complete();
     /// Whether the response exceeds the limits for heads and informational responses.
     bool exceeds_head_limits() const;
+    /// Reads the next line of a response or a part of its body. \returns the number of bytes consumed.
+    std::size_t read_response_part(std::string_view bytes);
     std::size_t execute(std::string_view bytes);
 
     callbacks callbacks_;
     http_parser parser_{};
+    response_lines lines_;
     kind kind_;
     state state_{state::reading};
     bool started_{false};
--- /dev/null
+++ b/net/http_syntax.cpp
@@ -0,0 +1,75 @@
+#include "net/http_syntax.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace clementinegap {
+namespace {
+
+constexpr std::string_view version_prefix = "HTTP/1.";
+constexpr std::size_t status_digits = 3;
+
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+bool is_token_byte(char c)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           marks.find(c) != std::string_view::npos;
+}
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_token_byte);
+}
+
+bool is_line_text(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), is_line_byte);
+}
+
+} // namespace
+
+bool is_line_byte(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
+
+std::string_view status_line_fault(std::string_view line)
+{
+    constexpr std::string_view malformed = "malformed status line";
+    if (!line.starts_with(version_prefix)) {
+        return "not an HTTP/1 response";
+    }
+    line.remove_prefix(version_prefix.size());
+    // DIGIT SP 3DIGIT SP
+    if (line.size() < status_digits + 3 || !is_digit(line[0]) || line[1] != ' ' || line[5] != ' ') {
+        return malformed;
+    }
+    const auto status = line.substr(2, status_digits);
+    if (!std::all_of(status.begin(), status.end(), is_digit) || !is_line_text(line)) {
+        return malformed;
+    }
+    if (status.front() < '1' || status.front() > '5') {
+        return "status outside 100 to 599";
+    }
+    return {};
+}
+
+std::string_view field_line_fault(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) {
+        return "malformed header line";
+    }
+    if (!is_line_text(line.substr(colon + 1))) {
+        return "control character in a header";
+    }
+    return {};
+}
+
+} // namespace clementinegap
--- /dev/null
+++ b/net/http_syntax.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+
+/// \file
+/// What is valid in the lines of an HTTP/1 message. Lines are without their line end, which is CRLF always.
+///
+/// | element            | valid                                                         | source         |
+/// |--------------------|---------------------------------------------------------------|----------------|
+/// | line end           | CRLF; no CR or LF elsewhere in a line                         | RFC 9112, 2.2  |
+/// | status line        | `HTTP/1.` DIGIT SP 3DIGIT SP [ reason ], 100 to 599           | RFC 9112, 4; RFC
+/// 9110, 15 | | reason             | HTAB, SP, visible characters, bytes from 0x80                 | RFC
+/// 9112, 4    | | header, trailer    | token `:` value; no blank before the colon, no folded line    | RFC
+/// 9112, 5    | | token              | letters, digits and the marks ``!#$%&'*+-.^_`|~``             | RFC
+/// 9110, 5.6.2 | | value              | HTAB, SP, visible characters, bytes from 0x80; may be empty   | RFC
+/// 9110, 5.5  | | before first field | nothing; a line that begins with a blank is invalid           | RFC
+/// 9112, 2.2  |
+///
+/// Where the standard lets a recipient repair a message, it is invalid here: whoever repairs it may read
+/// something else than its sender wrote.
+
+namespace clementinegap {
+
+/// \returns what is wrong with a line; empty for a valid one.
+std::string_view status_line_fault(std::string_view line);
+std::string_view field_line_fault(std::string_view line);
+
+/// Whether a byte may occur in a line of a head, of chunks or of trailers.
+bool is_line_byte(char c);
+
+} // namespace clementinegap
--- /dev/null
+++ b/tests/net/test_broken_responses.cpp
@@ -0,0 +1,213 @@
+#include "net/http_reader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace clementinegap;
+
+namespace {
+
+using namespace std::string_literals;
+
+struct reading {
+    http_reader::state state{http_reader::state::reading};
+    int heads{0};
+    std::string body;
+};
+
+/// Reads bytes that come in pieces of this size, and the orderly end of the connection after them.
+reading read_in_pieces(std::string_view bytes, std::size_t piece)
+{
+    reading got;
+    http_reader reader(http_reader::kind::responses,
+                       {[&](http_head&) {
+                            ++got.heads;
+                            return http_reader::body_rule::as_framed;
+                        },
+                        [&](std::string_view more) { got.body.append(more); }, [] {}});
+    for (; !bytes.empty() && reader.status() == http_reader::state::reading;
+         bytes.remove_prefix(std::min(piece, bytes.size()))) {
+        reader.feed(bytes.substr(0, piece));
+    }
+    reader.feed_end();
+    got.state = reader.status();
+    return got;
+}
+
+void check_broken(const std::vector<std::string>& responses, int heads)
+{
+    for (const auto& response : responses) {
+        for (const std::size_t piece : {response.size(), std::size_t{1}, std::size_t{7}}) {
+            const auto got = read_in_pieces(response, piece);
+            BOOST_TEST((got.state == http_reader::state::broken), response << " in pieces of " << piece);
+            BOOST_TEST(got.heads == heads, response << " in pieces of " << piece);
+        }
+    }
+}
+
+void check_sound(const std::vector<std::string>& responses, std::string_view body)
+{
+    for (const auto& response : responses) {
+        for (const std::size_t piece : {response.size(), std::size_t{1}, std::size_t{7}}) {
+            const auto got = read_in_pieces(response, piece);
+            BOOST_TEST((got.state == http_reader::state::complete), response << " in pieces of " << piece);
+            BOOST_TEST(got.heads == 1, response << " in pieces of " << piece);
+            BOOST_TEST(got.body == body, response << " in pieces of " << piece);
+        }
+    }
+}
+
+std::string with_status_line(const std::string& line)
+{
+    return line + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// \param lines each with its line end.
+std::string with_lines(const std::string& lines)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + lines + "\r\nok";
+}
+
+} // namespace
+
+// Guards against passing on a response that http-parser takes and whose bytes the standard calls invalid.
+BOOST_AUTO_TEST_SUITE(a_response)
+
+BOOST_AUTO_TEST_SUITE(is_broken)
+
+BOOST_AUTO_TEST_CASE(by_its_status_line)
+{
+    std::vector<std::string> responses;
+    for (const auto& line : {"HTTP/1.1 000 x"s,
+                             "HTTP/1.1 0 x"s,
+                             "HTTP/1.1 099 x"s,
+                             "HTTP/1.1 600 x"s,
+                             "HTTP/1.1 2x0 x"s,
+                             "HTTP/1.1 -200 x"s,
+                             "HTTP/1.1 0200 x"s,
+                             "HTTP/1.1 2000 x"s,
+                             "HTTP/1.1 20 x"s,
+                             "HTTP/1.1 200"s,
+                             "HTTP/1.1  200 OK"s,
+                             "HTTP/1.1\t200 OK"s,
+                             " HTTP/1.1 200 OK"s,
+                             "HTTP/1.1 200 a\x01z"s,
+                             "HTTP/1.1 200 a\0z"s,
+                             "HTTP/1.1 200 a\rz"s,
+                             "HTTP/1.1 200 a\x7f"s,
+                             "HTTP/2.0 200 OK"s,
+                             "HTTP/0.9 200 OK"s,
+                             "HTTP/11.1 200 OK"s,
+                             "HTTP/1.10 200 OK"s,
+                             "http/1.1 200 OK"s,
+                             "HTTP 200 OK"s,
+                             "200 OK"s,
+                             ""s}) {
+        responses.push_back(with_status_line(line));
+    }
+    check_broken(responses, 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_the_name_of_a_header)
+{
+    std::vector<std::string> responses;
+    for (const auto& name : {"X Name"s, "X-Name "s, "X-Name\t"s, " X-Name"s, "\tX-Name"s, "X\0Name"s,
+                             "X\x01Name"s, "X\x0bName"s, "X\rName"s, "X\x7fName"s, "X\xe9Name"s, "X\tName"s,
+                             "X(Name"s, "X\"Name"s, "X/Name"s, "X[Name"s, "X@Name"s, ""s}) {
+        responses.push_back(with_lines(name + ": v\r\n"));
+        responses.push_back(with_lines("X-Before: v\r\n" + name + ": v\r\n"));
+    }
+    // Read another way, they would have framed the body.
+    for (const auto* line :
+         {"Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Transfer Encoding: chunked"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n"s + line + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    }
+    check_broken(responses, 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_the_value_of_a_header)
+{
+    std::vector<std::string> responses;
+    for (const auto& value : {"a\0z"s, "a\x01z"s, "a\x0bz"s, "a\x1bz"s, "a\x7fz"s, "a\rz"s, "\r"s}) {
+        responses.push_back(with_lines("X-Name: " + value + "\r\n"));
+    }
+    check_broken(responses, 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_a_line_of_its_head)
+{
+    check_broken({with_lines("no colon\r\n"), with_lines("X-Name: v\n"),
+                  with_lines("X-Name: v\r\n folded\r\n"), with_lines("X-Name: v\r\n\tfolded\r\n"),
+                  with_lines("X-Name:\r\n v\r\n"), "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rok"},
+                 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_a_line_before_its_first_header)
+{
+    check_broken({"\r\n" + with_lines(""), "\n" + with_lines(""),
+                  "HTTP/1.1 200 OK\r\n X-Name: v\r\nContent-Length: 2\r\n\r\nok",
+                  "HTTP/1.1 200 OK\r\n \r\nContent-Length: 2\r\n\r\nok",
+                  "HTTP/1.1 200 OK\r\n\tContent-Length: 2\r\n\r\nok"},
+                 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_an_informational_one_before_it)
+{
+    check_broken({"HTTP/1.1 000 x\r\n\r\n" + with_lines(""), "HTTP/1.1 100\r\n\r\n" + with_lines(""),
+                  "HTTP/1.1 100 Continue\r\nX Name: v\r\n\r\n" + with_lines(""),
+                  "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\n" + with_lines(""),
+                  "HTTP/1.1 100 Continue\n\n" + with_lines(""),
+                  "HTTP/1.1 100 Continue\r\n\r\n\r\n" + with_lines("")},
+                 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_an_end_within_its_head)
+{
+    check_broken({"H", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\n",
+                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r"},
+                 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(is_sound)
+
+BOOST_AUTO_TEST_CASE(with_an_unusual_status_line)
+{
+    std::vector<std::string> responses;
+    for (const auto* line :
+         {"HTTP/1.1 200 ", "HTTP/1.1 200  two blanks", "HTTP/1.1 200 a\tb", "HTTP/1.1 200 \xc3\xa9t\xc3\xa9",
+          "HTTP/1.0 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 299 x", "HTTP/1.1 599 x", "HTTP/1.1 200 :;(){}"}) {
+        responses.push_back(with_status_line(line));
+    }
+    check_sound(responses, "ok");
+}
+
+BOOST_AUTO_TEST_CASE(with_unusual_headers)
+{
+    std::vector<std::string> responses;
+    for (const auto* lines :
+         {"!#$%&'*+-.^_`|~09azAZ: v\r\n", "X-Name:\r\n", "X-Name: \r\n", "X-Name:v\r\n",
+          "X-Name: \t v \t \r\n", "X-Name: \xe9\xff\x80\r\n", "X-Name: \"a:b\"; c\r\n", "X-Name: a\tb\r\n",
+          "1: v\r\n", "Set-Cookie: a=1\r\nset-cookie: b=2\r\n", "X-Name: : :\r\n"}) {
+        responses.push_back(with_lines(lines));
+    }
+    check_sound(responses, "ok");
+}
+
+BOOST_AUTO_TEST_CASE(after_informational_ones)
+{
+    check_sound(
+        {"HTTP/1.1 100 Continue\r\n\r\n" + with_lines(""), "HTTP/1.1 100 \r\n\r\n" + with_lines(""),
+         "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + with_lines("")},
+        "ok");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/router/test_broken_answers.cpp
+++ b/tests/router/test_broken_answers.cpp
@@ -3,8 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace clementinegap;
 using namespace clementinegap::testing;
@@ -30,12 +32,17 @@
 const std::string sealed_fields = "X-Request-Id: {id}\r\nX-Response-Seal: s.1\r\n";
 const std::string sealed_head = "HTTP/1.1 200 OK\r\n" + sealed_fields;
 
-/// A gateway whose only upstream is a scripted server. `{id}` in an answer stands for the id of its request.
+/// A gateway whose first upstream is a scripted server. `{id}` in an answer stands for the id of its request.
 struct scripted_upstream_fixture : gateway_fixture {
-    explicit scripted_upstream_fixture(scripted_server::script serve) : server(std::move(serve))
+    enum class others { none, sound };
+
+    explicit scripted_upstream_fixture(scripted_server::script serve, others beside = others::none)
+        : server(std::move(serve))
     {
         allow_bodies(std::size_t{4} << 20U);
-        store.erase("servers", "u2");
+        if (beside == others::none) {
+            store.erase("servers", "u2");
+        }
         store.put("servers", "u1",
                   R"({"service":"app","address":"127.0.0.1:)" + std::to_string(server.port()) +
                       R"(","zone":"z","slots":6,"state":"ready","born":2})");
@@ -47,6 +54,49 @@
     scripted_server server;
 };
 
+/// Answers each request on a connection with the same bytes until the entry closes the connection.
+class repeating_server {
+public:
+    explicit repeating_server(std::string answer) : answer_(std::move(answer)) {}
+    void serve(raw_connection& connection)
+    {
+        ++connections_;
+        for (auto request = connection.read_until(head_end); request.find(head_end) != std::string::npos;
+             request = connection.read_until(head_end)) {
+            ++requests_;
+            connection.send(with_id(answer_, request));
+        }
+    }
+    int connections() const { return connections_; }
+    int requests() const { return requests_; }
+
+private:
+    static constexpr std::string_view head_end = "\r\n\r\n";
+
+    std::string answer_;
+    std::atomic<int> connections_{0};
+    std::atomic<int> requests_{0};
+};
+
+/// Answers that are broken, each in one place.
+std::vector<std::string> broken_answers()
+{
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+    return {"HTTP/1.1 000 x\r\n" + sealed_fields + body,
+            "HTTP/1.1 0200 x\r\n" + sealed_fields + body,
+            "HTTP/1.1 099 x\r\n\r\n" + sealed_head + body,
+            "\r\n" + sealed_head + body,
+            "HTTP/1.1 200 OK\r\n X-Name: v\r\n" + sealed_fields + body,
+            sealed_head + "X Name: v\r\n" + body,
+            sealed_head + "X-Name : v\r\n" + body,
+            sealed_head + "X\x01Name: v\r\n" + body,
+            sealed_head + "X-Name: a\x01z\r\n" + body,
+            sealed_head + "X-Name: v\r\n folded\r\n" + body,
+            sealed_head + "X-Name: v\n" + body,
+            sealed_head + "Transfer-Encoding : chunked\r\n" + chunks};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(an_answer_without_a_length)
@@ -90,3 +140,43 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against passing on an answer that the standard calls invalid, as it came or repaired.
+BOOST_AUTO_TEST_SUITE(a_broken_answer)
+
+BOOST_AUTO_TEST_CASE(is_not_passed_on_and_its_connection_is_not_used_again)
+{
+    for (const auto& answer : broken_answers()) {
+        BOOST_TEST_CONTEXT(answer)
+        {
+            repeating_server server(answer);
+            scripted_upstream_fixture at([&](raw_connection& connection) { server.serve(connection); });
+            for (int call = 1; call <= 2; ++call) {
+                const auto got = at.call("/book/x");
+                BOOST_TEST(got.status == 502);
+                BOOST_TEST(got.body.find(R"("ran":"unknown")") != std::string::npos);
+                BOOST_TEST(server.connections() == call);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_replaced_by_that_of_another_upstream_where_that_is_allowed)
+{
+    for (const auto& answer : broken_answers()) {
+        BOOST_TEST_CONTEXT(answer)
+        {
+            repeating_server server(answer);
+            scripted_upstream_fixture at([&](raw_connection& connection) { server.serve(connection); },
+                                         scripted_upstream_fixture::others::sound);
+            for (int call = 0; call < 4; ++call) {
+                const auto got = at.call("/look/x");
+                BOOST_TEST(got.status == 200);
+                BOOST_TEST(got.body == "the upstream's own bytes");
+            }
+            BOOST_TEST(server.requests() > 0);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
