The body of a response is read as its sender framed it, or not at all

Callers saw: bodies with a transfer coding that the router does not know were passed on without the name of the coding, and a body in chunks from a server of HTTP/1.0 was decoded. A 204 with a length, or an informational response with one, made the parser take the bytes after its head as a body, a 101 was skipped and what followed it read as HTTP. A sound 304 that states the length of what was not modified waited for that many bytes.

Cause: http-parser leaves these rules to its user.

Change: framing_fault in http_syntax.h checks a complete head: one length of digits or one 'chunked' of HTTP/1.1, not both, neither for 1xx and 204 (a length of 0 passes), no 101. Responses with 1xx, 204 and 304 have no body.

Lengths that are no numbers, two lengths, and a length beside a coding were refused before. Also refused before and now: a tab after the digits of a length.

--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_response_header_lines = 256;
 /// Limit of 1xx responses before a final response; correct servers send one or two.
 constexpr std::uint32_t max_informational_responses = 16;
+/// Makes the parser fail when a head is complete.
+constexpr int refuse_message = -1;
 
 } // namespace
 
@@ -39,6 +41,7 @@
     informational_responses_ = 0;
     head_ = {};
     lines_ = {};
+    fault_ = {};
 }
 
 const http_parser_settings& http_reader::parser_settings()
@@ -109,13 +112,18 @@
         parser_.upgrade = 0;
     } else {
         head_.status = static_cast<int>(parser_.status_code);
+        fault_ = framing_fault(head_);
+        if (!fault_.empty()) {
+            return refuse_message;
+        }
         if (head_.status < 200) {
             informational_ = true;
             lines_.expect_head();
             return 0;
         }
     }
-    const bool has_body = callbacks_.on_head(head_) == body_rule::as_framed;
+    const bool has_body = callbacks_.on_head(head_) == body_rule::as_framed &&
+                          (kind_ == kind::requests || !is_bodiless(head_.status));
     if (has_body && head_.chunked) {
         lines_.expect_chunks();
     }
@@ -196,7 +204,8 @@
 
 std::string_view http_reader::problem() const
 {
-    return lines_.fault().empty() ? http_errno_description(HTTP_PARSER_ERRNO(&parser_)) : lines_.fault();
+    const auto fault = fault_.empty() ? lines_.fault() : fault_;
+    return fault.empty() ? http_errno_description(HTTP_PARSER_ERRNO(&parser_)) : fault;
 }
 
 std::string_view head_fault(std::string_view head)
--- a/net/http_syntax.cpp
+++ b/net/http_syntax.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::string_view version_prefix = "HTTP/1.";
 constexpr std::size_t status_digits = 3;
+constexpr int status_switching_protocols = 101;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 
 bool is_digit(char c)
 {
@@ -37,6 +40,17 @@
     return text.substr(std::min(text.find_first_not_of(" \t"), text.size()));
 }
 
+std::string_view without_blanks_around(std::string_view text)
+{
+    text = without_leading_blanks(text);
+    return text.substr(0, text.find_last_not_of(" \t") + 1);
+}
+
+bool is_informational(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 /// Removes a token from the front. \returns whether there was one.
 bool take_token(std::string_view& text)
 {
@@ -138,4 +152,42 @@
     return size;
 }
 
+bool is_bodiless(int status)
+{
+    return is_informational(status) || status == status_no_content || status == status_not_modified;
+}
+
+std::string_view framing_fault(const http_head& response)
+{
+    constexpr std::string_view coding = "Transfer-Encoding";
+    constexpr std::string_view length = "Content-Length";
+    if (response.status == status_switching_protocols) {
+        return "upgrade that was not asked for";
+    }
+    const auto* coding_value = response.find(coding);
+    if (coding_value != nullptr &&
+        (response.count(coding) > 1 || !same_header(without_blanks_around(*coding_value), "chunked"))) {
+        return "transfer coding other than chunked";
+    }
+    if (response.chunked != (coding_value != nullptr) || (response.chunked && response.is_http_1_0)) {
+        return "transfer coding in a message of HTTP/1.0";
+    }
+    const auto* length_value = response.find(length);
+    if (length_value != nullptr && coding_value != nullptr) {
+        return "both a length and a transfer coding";
+    }
+    if (length_value != nullptr) {
+        const auto digits = without_blanks_around(*length_value);
+        if (response.count(length) > 1 || digits.empty() ||
+            !std::all_of(digits.begin(), digits.end(), is_digit) || !response.content_length) {
+            return "malformed length";
+        }
+    }
+    const bool states_body = response.chunked || response.content_length.value_or(0) > 0;
+    if (states_body && (is_informational(response.status) || response.status == status_no_content)) {
+        return "body in a response that has none";
+    }
+    return {};
+}
+
 } // namespace clementinegap
--- a/net/http_syntax.h
+++ b/net/http_syntax.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "net/http_message.h"
+
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
 /// \file
-/// What is valid in the lines of an HTTP/1 message. Lines are without their line end, which is CRLF always.
+/// What is valid in an HTTP/1 message, apart from its body. Lines are without their line end, which is CRLF
+/// always.
 ///
 /// | element            | valid                                                         | source         |
 /// |--------------------|---------------------------------------------------------------|----------------|
@@ -30,6 +33,13 @@
 /// The size that the first line of a chunk states; nothing if the line is invalid.
 std::optional<std::uint64_t> chunk_size(std::string_view line);
 
+/// What is wrong with a response's head as to where its body ends; empty for a valid one. `chunked` and
+/// `content_length` say how a parser would read the body.
+std::string_view framing_fault(const http_head& response);
+
+/// Whether responses with this status have no body, whatever their headers say.
+bool is_bodiless(int status);
+
 /// Whether a byte may occur in a line of a head, of chunks or of trailers.
 bool is_line_byte(char c);
 
--- a/tests/net/test_broken_responses.cpp
+++ b/tests/net/test_broken_responses.cpp
@@ -171,6 +171,58 @@
                  0);
 }
 
+BOOST_AUTO_TEST_CASE(by_its_transfer_coding)
+{
+    const auto chunks = "\r\n2\r\nok\r\n0\r\n\r\n"s;
+    std::vector<std::string> responses{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks};
+    for (const auto* lines : {"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: gzip\r\n",
+                              "Transfer-Encoding: identity\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+                              "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding:\r\n",
+                              "Transfer-Encoding: chunked;a=b\r\n", "Transfer-Encoding: xchunked\r\n",
+                              "Transfer-Encoding: chunked x\r\n", "Transfer-Encoding: \"chunked\"\r\n",
+                              "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+                              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+                              "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + (lines + chunks));
+    }
+    check_broken(responses, 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_its_length)
+{
+    std::vector<std::string> responses;
+    for (const auto* lines :
+         {"Content-Length:\r\n", "Content-Length: \t\r\n", "Content-Length: -2\r\n", "Content-Length: +2\r\n",
+          "Content-Length: 2x\r\n", "Content-Length: 0x2\r\n", "Content-Length: 2 2\r\n",
+          "Content-Length: 2,\r\n", "Content-Length: 2, 2\r\n", "Content-Length: 2.0\r\n",
+          "Content-Length: 99999999999999999999\r\n", "Content-Length: 2\r\nContent-Length: 3\r\n",
+          "Content-Length: 2\r\nContent-Length: 2\r\n", "Content-Length:\r\nContent-Length: 2\r\n",
+          "Content-Length: 2\r\nContent-Length:\r\n"}) {
+        responses.push_back("HTTP/1.1 200 OK\r\n"s + lines + "\r\nok");
+    }
+    check_broken(responses, 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_a_body_that_its_status_rules_out)
+{
+    check_broken({"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+                  "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                  "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + with_lines(""),
+                  "HTTP/1.1 103 Early Hints\r\nContent-Length: 40\r\n\r\n" + with_lines(""),
+                  "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + with_lines("")},
+                 0);
+}
+
+BOOST_AUTO_TEST_CASE(by_an_upgrade_that_was_not_asked_for)
+{
+    check_broken(
+        {"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n" + with_lines(""),
+         "HTTP/1.1 101 Switching Protocols\r\n\r\n" + with_lines("")},
+        0);
+}
+
 BOOST_AUTO_TEST_CASE(by_the_size_of_a_chunk)
 {
     std::vector<std::string> responses;
@@ -273,6 +325,26 @@
     check_sound(responses, "ok");
 }
 
+BOOST_AUTO_TEST_CASE(with_a_length_in_an_unusual_form)
+{
+    check_sound({"HTTP/1.1 200 OK\r\nContent-Length:2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\ncontent-length: 0002 \r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nTransfer-encoding: CHUNKED \r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\n\r\nok", "HTTP/1.0 200 OK\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"},
+                "ok");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_body_if_its_status_rules_it_out)
+{
+    check_sound({"HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 304 Not Modified\r\n\r\n",
+                 "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+                 "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+                 "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"},
+                "");
+}
+
 BOOST_AUTO_TEST_CASE(in_unusual_chunks)
 {
     std::vector<std::string> responses;
--- a/tests/router/test_broken_answers.cpp
+++ b/tests/router/test_broken_answers.cpp
@@ -95,6 +95,13 @@
             sealed_head + "X-Name: v\r\n folded\r\n" + body,
             sealed_head + "X-Name: v\n" + body,
             sealed_head + "Transfer-Encoding : chunked\r\n" + chunks,
+            sealed_head + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+            sealed_head + "Transfer-Encoding: identity\r\n\r\nok",
+            "HTTP/1.0 200 OK\r\n" + sealed_fields + "Transfer-Encoding: chunked\r\n" + chunks,
+            sealed_head + "Content-Length:\r\n\r\nok",
+            "HTTP/1.1 204 x\r\n" + sealed_fields + body,
+            "HTTP/1.1 101 x\r\n\r\n" + sealed_head + body,
+            "HTTP/1.1 100 x\r\nContent-Length: 2\r\n\r\nok" + sealed_head + body,
             sealed_head + "Transfer-Encoding: chunked\r\n\r\n2 x\r\nok\r\n0\r\n\r\n",
             sealed_head + "Transfer-Encoding: chunked\r\n\r\n2\r\nokxy0\r\n\r\n",
             sealed_head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Name: v\r\n\r\n"};
