A refusal that broke off does not say that the request did not run

Callers saw: 503 with "ran": "no" for requests that may run once at most, after an upstream had sent the head of a refusal and then a part of its body, chunks that are not valid, or a body without end. A caller may send such a request again.

Cause: an exchange kept what the head of an answer had said when the answer broke.

Change: an answer that breaks is lost or bad, whatever its head said: 502, or another upstream where that is allowed.

--- a/router/exchange.cpp
+++ b/router/exchange.cpp
@@ -104,7 +104,6 @@
         forward_events(events_.feed(bytes));
         count_held();
         if (event_is_too_long()) {
-            fault_ = send_fault::bad_answer;
             abort_invalid_response();
         }
         return;
@@ -125,7 +124,7 @@
 void exchange::abort_invalid_response()
 {
     stop_send();
-    report_fault(*fault_);
+    report_fault(send_fault::bad_answer);
 }
 
 void exchange::report_first_bytes()
@@ -266,14 +265,11 @@
 void exchange::on_exchange_failed(const exchange_failure& why)
 {
     stop_send();
-    if (fault_ && *fault_ != send_fault::bad_answer) {
-        report_fault(*fault_);
-        return;
-    }
     if (!why.connected) {
         gateway_.post(send_failed{number_, send_fault::unreachable, response_started_, why.refused});
         return;
     }
+    // What its head said does not count: not even that the request did not run.
     report_fault(why.not_http ? send_fault::bad_answer : send_fault::lost);
 }
 
--- a/tests/router/test_broken_answers.cpp
+++ b/tests/router/test_broken_answers.cpp
@@ -143,6 +143,29 @@
     }
 }
 
+// Guards against telling a caller that its request did not run, which a complete answer alone can say.
+BOOST_AUTO_TEST_CASE(does_not_say_that_the_request_did_not_run)
+{
+    const std::string refusal = "HTTP/1.1 503 x\r\n" + sealed_fields + "X-Not-Executed: 1\r\n";
+    for (const auto& answer :
+         {refusal + "Content-Length: 9\r\n\r\nok", refusal + "X Name: v\r\nContent-Length: 2\r\n\r\nok",
+          refusal + "Transfer-Encoding: chunked\r\n\r\n2\r\nokxy0\r\n\r\n",
+          "HTTP/1.1 421 x\r\n" + sealed_fields + "Content-Length: 9\r\n\r\nok",
+          refusal + "Content-Length: 9000000\r\n\r\n" + std::string(4'000'000, 'a')}) {
+        BOOST_TEST_CONTEXT(answer.substr(0, 200))
+        {
+            scripted_upstream_fixture at([&](raw_connection& connection) {
+                const auto request = connection.read_until("\r\n\r\n");
+                connection.send(with_id(answer, request));
+                connection.reset();
+            });
+            const auto got = at.call("/book/x");
+            BOOST_TEST(got.status == 502);
+            BOOST_TEST(got.body.find(R"("ran":"unknown")") != std::string::npos);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(is_replaced_by_that_of_another_upstream_where_that_is_allowed)
 {
     for (const auto& answer : broken_answers(sealed_fields)) {
