--- a/tests/process/test_http_client.cpp
+++ b/tests/process/test_http_client.cpp
@@ -1,4 +1,5 @@
 #include "adapters/http_client.h"
+#include "adapters/platform_client.h"
 #include "process/broken_answers.h"
 #include "process/process_deployment.h"
 #include "process/scripted_server.h"
@@ -144,6 +145,24 @@
     }
 }
 
+// Guards against taking a write for refused because of the status in an answer that broke.
+BOOST_AUTO_TEST_CASE(leaves_the_outcome_of_a_write_unknown)
+{
+    scripted_server server([](raw_connection& connection) {
+        connection.read_until("\r\n\r\n");
+        connection.send("HTTP/1.1 503 x\r\nContent-Length: 9\r\n\r\n{}");
+    });
+    platform_client platform(server.url(), seconds(5));
+    std::atomic<bool> done{false};
+    transaction_result result;
+    platform.transact({}, [&](const transaction_result& got) {
+        result = got;
+        done = true;
+    });
+    BOOST_REQUIRE(eventually([&] { return done.load(); }));
+    BOOST_TEST((result.result == store_result::unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_sound_answer)
