--- a/net/http_syntax.h
+++ b/net/http_syntax.h
@@ -7,19 +7,23 @@
 #include <string_view>
 
 /// \file
-/// What is valid in an HTTP/1 message, apart from its body. Lines are without their line end, which is CRLF
-/// always.
+/// What is valid in an HTTP/1 message, apart from the bytes of its body:
 ///
-/// | element            | valid                                                         | source         |
-/// |--------------------|---------------------------------------------------------------|----------------|
-/// | line end           | CRLF; no CR or LF elsewhere in a line                         | RFC 9112, 2.2  |
-/// | status line        | `HTTP/1.` DIGIT SP 3DIGIT SP [ reason ], 100 to 599           | RFC 9112, 4; RFC
-/// 9110, 15 | | reason             | HTAB, SP, visible characters, bytes from 0x80                 | RFC
-/// 9112, 4    | | header, trailer    | token `:` value; no blank before the colon, no folded line    | RFC
-/// 9112, 5    | | token              | letters, digits and the marks ``!#$%&'*+-.^_`|~``             | RFC
-/// 9110, 5.6.2 | | value              | HTAB, SP, visible characters, bytes from 0x80; may be empty   | RFC
-/// 9110, 5.5  | | before first field | nothing; a line that begins with a blank is invalid           | RFC
-/// 9112, 2.2  |
+/// - Line end: CRLF, and neither CR nor LF within a line (RFC 9112, 2.2).
+/// - Status line: `HTTP/1.` DIGIT SP 3DIGIT SP [ reason ] (RFC 9112, 4); the status is 100 to 599
+///   (RFC 9110, 15). A reason has HTAB, SP, visible characters and bytes from 0x80.
+/// - Before the first header: nothing, also no line that begins with a blank (RFC 9112, 2.2).
+/// - Header and trailer: token `:` value, without a blank before the colon and without folded lines
+///   (RFC 9112, 5).
+/// - Token: letters, digits and the marks ``!#$%&'*+-.^_`|~`` (RFC 9110, 5.6.2).
+/// - Value: HTAB, SP, visible characters and bytes from 0x80; it may be empty (RFC 9110, 5.5).
+/// - Body: one `Content-Length` of digits, or one `Transfer-Encoding: chunked` of HTTP/1.1, not both. With
+///   neither it goes on to the end of the connection (RFC 9112, 6).
+/// - No body follows 1xx, 204 and 304. 1xx and 204 have no coding, and no length but 0 (RFC 9112, 6;
+///   RFC 9110, 8.6).
+/// - 101 is never valid, as no request asks for an upgrade (RFC 9110, 7.8).
+/// - Chunk size: 1*HEXDIG *( BWS `;` BWS token [ BWS `=` BWS ( token / quoted-string ) ] ) (RFC 9112, 7.1).
+/// - Chunk end: CRLF, right after as many bytes as the size says (RFC 9112, 7.1).
 ///
 /// Where the standard lets a recipient repair a message, it is invalid here: whoever repairs it may read
 /// something else than its sender wrote.
