Tests: a response is read alike in any pieces

Cause: lines that come in parts take another way through response_lines than whole ones. Measured: 20,000 mutated responses, each whole and in pieces of 1 to 5 bytes: the same verdict, heads and bodies.

--- a/tests/net/test_broken_responses.cpp
+++ b/tests/net/test_broken_responses.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,6 +12,7 @@
 namespace {
 
 using namespace std::string_literals;
+using namespace std::string_view_literals;
 
 struct reading {
     http_reader::state state{http_reader::state::reading};
@@ -377,4 +379,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(is_read_alike_in_any_pieces)
+{
+    const std::vector<std::string> originals = {
+        with_lines("X-Name: v\r\n"),
+        with_chunks("2;a=\"b\"\r\nok\r\n10\r\n0123456789abcdef\r\n0\r\nX-Name: v\r\n\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nbody"};
+    constexpr std::string_view marks = "\r\n\t :;=,\"0129aAfxX\0\x7f\xe9"sv;
+    std::minstd_rand random(72);
+    int complete = 0;
+    constexpr int rounds = 20000;
+    for (int round = 0; round < rounds; ++round) {
+        auto bytes = originals[random() % originals.size()];
+        for (auto changes = 1 + random() % 3; changes > 0; --changes) {
+            const auto at = random() % bytes.size();
+            const std::string mark(1, marks[random() % marks.size()]);
+            bytes.replace(at, random() % 2, random() % 3 == 0 ? "" : mark);
+        }
+        const auto whole = read_in_pieces(bytes, bytes.size());
+        const auto parts = read_in_pieces(bytes, 1 + random() % 5);
+        BOOST_TEST((whole.state == parts.state), bytes);
+        BOOST_TEST(whole.heads == parts.heads, bytes);
+        BOOST_TEST((whole.state == http_reader::state::broken || whole.body == parts.body), bytes);
+        complete += whole.state == http_reader::state::complete ? 1 : 0;
+    }
+    BOOST_TEST(complete > 0);
+    BOOST_TEST(complete < rounds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
